--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,8 +16,8 @@
 // Client speaks to workers.
 type Client struct{ http *call.Client }
 
-// New returns a client.
-func New() *Client { return &Client{http: call.New(2, 256, 4<<20)} }
+// New returns a client that keeps at most idle connections to workers open.
+func New(idle int) *Client { return &Client{http: call.New(2, idle, 4<<20)} }
 
 // Orders sends orders; the answer is the worker's report.
 func (c *Client) Orders(ctx context.Context, o core.Orders) core.Ordered {
--- a/ccs/ccs.go
+++ b/ccs/ccs.go
@@ -4,6 +4,7 @@
 package ccs
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,6 +31,8 @@
 	Keep    Vec  // room kept for work that has fewer machines to go to
 	Last    bool // offered after all others: the leader would like the machine to empty
 	Offered bool // false: the machine is about to be returned
+
+	rev uint64 // of the array, when it changed last
 }
 
 // FreeShare is the smallest free share over CPU, GPU and memory.
@@ -58,9 +61,12 @@
 	Claim   Vec
 }
 
-// Array is the leader's array. Rows are found by dense machine index.
+// Array is the leader's array. Rows are found by dense machine index. Each row knows when it
+// changed last, so that a push need only carry those that did.
 type Array struct {
-	rows map[int32]*Row
+	rows  map[int32]*Row
+	order []int32 // machine indices, sorted
+	rev   uint64
 }
 
 // NewArray returns an empty array.
@@ -68,27 +74,52 @@
 
 // Seed sets a machine's whole and occupied room from its registration or report.
 func (a *Array) Seed(machine int32, room, occ Vec, offered bool) {
-	a.rows[machine] = &Row{Machine: machine, Avail: room.Add(occ, -1), Occ: occ, Offered: offered}
+	r := a.rows[machine]
+	if r == nil {
+		r = &Row{Machine: machine}
+		a.rows[machine] = r
+		i, _ := slices.BinarySearch(a.order, machine)
+		a.order = slices.Insert(a.order, i, machine)
+	}
+	a.set(r, func(r *Row) { r.Avail, r.Occ, r.Offered = room.Add(occ, -1), occ, offered })
+}
+
+// set changes a row and notes whether that made it another.
+func (a *Array) set(r *Row, f func(*Row)) {
+	old := *r
+	f(r)
+	if *r != old || r.rev == 0 {
+		a.rev++
+		r.rev = a.rev
+	}
 }
 
 // Row returns a machine's row, or nil.
 func (a *Array) Row(machine int32) *Row { return a.rows[machine] }
 
-// Offer sets how a machine is offered to controllers: whether at all, whether after all
+// Offer says whether a machine is offered to the controllers, whether only after all
 // others, and which room of it is kept.
 func (a *Array) Offer(machine int32, offered, last bool, keep Vec) {
 	if r := a.rows[machine]; r != nil {
-		r.Offered, r.Last, r.Keep = offered, last, keep
+		a.set(r, func(r *Row) { r.Offered, r.Last, r.Keep = offered, last, keep })
 	}
 }
 
 // Remove drops a machine.
-func (a *Array) Remove(machine int32) { delete(a.rows, machine) }
+func (a *Array) Remove(machine int32) {
+	if a.rows[machine] == nil {
+		return
+	}
+	delete(a.rows, machine)
+	if i, ok := slices.BinarySearch(a.order, machine); ok {
+		a.order = slices.Delete(a.order, i, i+1)
+	}
+}
 
 // Apply updates the array by one tuple; tuples for unknown machines are dropped.
 func (a *Array) Apply(d Delta) {
 	if r := a.rows[d.Machine]; r != nil {
-		r.apply(d)
+		a.set(r, func(r *Row) { r.apply(d) })
 	}
 }
 
@@ -101,14 +132,16 @@
 	r.Occ = r.Occ.Add(d.Claim, k)
 }
 
-// Rows lists the array in the order of machine indices.
-func (a *Array) Rows() []Row {
-	out := make([]Row, 0, len(a.rows))
-	for _, r := range a.rows {
-		out = append(out, *r)
+// Rows lists the rows that changed after a revision, in the order of machine indices, and the
+// revision they show. After revision 0 that is all of them.
+func (a *Array) Rows(after uint64) ([]Row, uint64) {
+	var out []Row
+	for _, m := range a.order {
+		if r := a.rows[m]; r.rev > after {
+			out = append(out, *r)
+		}
 	}
-	slices.SortFunc(out, func(x, y Row) int { return int(x.Machine - y.Machine) })
-	return out
+	return out, a.rev
 }
 
 // Copy is a controller's copy of the array.
@@ -120,18 +153,39 @@
 	have   bool
 }
 
-// Replace takes a newly pushed array.
+// Replace takes a newly pushed whole array.
 func (c *Copy) Replace(now time.Duration, rows []Row) {
 	c.rows = make(map[int32]*Row, len(rows))
 	c.order = c.order[:0]
-	for i := range rows {
-		r := rows[i]
+	c.Update(now, rows)
+}
+
+// Update takes the rows of an array that changed since the last push; the others are as the
+// tuples since then left them.
+func (c *Copy) Update(now time.Duration, rows []Row) {
+	if c.rows == nil {
+		c.rows = map[int32]*Row{}
+	}
+	for _, r := range rows {
+		if c.rows[r.Machine] == nil {
+			c.order = append(c.order, r.Machine)
+		}
 		c.rows[r.Machine] = &r
-		c.order = append(c.order, r.Machine)
 	}
 	c.at, c.have = now, true
 }
 
+// Drop forgets a machine that is gone.
+func (c *Copy) Drop(machine int32) {
+	if c.rows[machine] == nil {
+		return
+	}
+	delete(c.rows, machine)
+	if i := slices.Index(c.order, machine); i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+}
+
 // Valid reports whether the copy has not expired.
 func (c *Copy) Valid(now time.Duration) bool { return c.have && now-c.at < c.Expire }
 
@@ -159,7 +213,6 @@
 // Candidates chooses machines: those with room in the order of most room first, then
 // random ones of the rest. From an expired copy it chooses at random.
 func (c *Copy) Candidates(now time.Duration, ask Ask, rng *rand.Rand) []int32 {
-	var fit []int32
 	var rest []int32
 	if !c.Valid(now) {
 		for _, m := range ask.Others {
@@ -170,48 +223,47 @@
 		rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 		return rest[:min(len(rest), ask.N)]
 	}
+	// The order is worked out once a machine: comparing costs most in a large fleet.
+	type ranked struct {
+		machine int32
+		tier    int
+		share   float64
+		dice    uint32 // equal machines come in random order, so that controllers do not all favour the same one
+	}
+	var fits []ranked
 	for _, m := range c.order {
 		r := c.rows[m]
-		if !r.Offered || !ask.Allow(m) {
+		if !r.Offered {
 			continue
 		}
-		if r.Has(ask.Claim, ask.Keep) {
-			fit = append(fit, m)
-		} else {
+		if has := r.Has(ask.Claim, ask.Keep); !has && !ask.Fill || !ask.Allow(m) {
+			continue
+		} else if !has {
 			rest = append(rest, m)
+			continue
 		}
-	}
-	// Equal machines come in random order, so that controllers do not all favour the same one.
-	rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
-	tier := map[int32]int{}
-	if ask.Tier != nil {
-		for _, m := range fit {
-			tier[m] = ask.Tier(m)
-		}
-	}
-	slices.SortStableFunc(fit, func(x, y int32) int {
-		if lx, ly := c.rows[x].Last, c.rows[y].Last; lx != ly {
-			if ly {
-				return -1
-			}
-			return 1
-		}
-		if d := tier[x] - tier[y]; d != 0 {
-			return d
+		k := ranked{machine: m, share: r.FreeShare(), dice: rng.Uint32()}
+		if ask.Tier != nil {
+			k.tier = ask.Tier(m)
 		}
-		sx, sy := c.rows[x].FreeShare(), c.rows[y].FreeShare()
-		switch {
-		case sx > sy:
-			return -1
-		case sx < sy:
-			return 1
+		if r.Last {
+			k.tier += lastTier
 		}
-		return 0
+		fits = append(fits, k)
+	}
+	slices.SortFunc(fits, func(x, y ranked) int {
+		return cmp.Or(cmp.Compare(x.tier, y.tier), cmp.Compare(y.share, x.share), cmp.Compare(x.dice, y.dice))
 	})
-	fit = fit[:min(len(fit), ask.N)]
-	if ask.Fill && len(fit) < ask.N {
+	fits = fits[:min(len(fits), ask.N)]
+	out := make([]int32, 0, len(fits))
+	for _, k := range fits {
+		out = append(out, k.machine)
+	}
+	if ask.Fill && len(out) < ask.N {
 		rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-		fit = append(fit, rest[:min(len(rest), ask.N-len(fit))]...)
+		out = append(out, rest[:min(len(rest), ask.N-len(out))]...)
 	}
-	return fit
+	return out
 }
+
+const lastTier = 1 << 20 // beyond every tier of an ask
--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -58,23 +58,12 @@
 	return out
 }
 
+// list reads one page of the list of machines.
 func (c *Client) list(ctx context.Context, o core.CloudOp) core.Clouded {
-	out := core.Clouded{ID: o.ID}
-	from := ""
-	for {
-		u := fmt.Sprintf("%s%s?most=%d", c.base, wire.PathRentals, pageSize)
-		if from != "" {
-			u += "&from=" + url.QueryEscape(from)
-		}
-		v, r := call.Get[wire.MachineList](c.http.Do(ctx, timeout, http.MethodGet, u, nil))
-		out.Status = r.Status
-		if r.Status != 200 {
-			return out
-		}
-		out.Machines = append(out.Machines, v.Machines...)
-		if !v.More || len(v.Machines) == 0 {
-			return out
-		}
-		from = v.Machines[len(v.Machines)-1].Name
+	u := fmt.Sprintf("%s%s?most=%d", c.base, wire.PathRentals, pageSize)
+	if o.From != "" {
+		u += "&from=" + url.QueryEscape(o.From)
 	}
+	v, r := call.Get[wire.MachineList](c.http.Do(ctx, timeout, http.MethodGet, u, nil))
+	return core.Clouded{ID: o.ID, Status: r.Status, Machines: v.Machines, More: v.More}
 }
--- a/controller.go
+++ b/controller.go
@@ -44,7 +44,7 @@
 // New assembles a controller.
 func New(p *settings.Platform, t *pb.Tuning, log *slog.Logger) *Controller {
 	c := &Controller{log: log, p: p, inputs: make(chan core.Input, queueLen), started: time.Now(),
-		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(), figures: newFigures()}
+		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(idleConns(p.Cluster.Quota.FDLimit)), figures: newFigures()}
 	c.core = core.New(coreConfig(p, t), 0, rand.Uint64())
 	peers := map[string]string{}
 	for _, q := range p.Peers {
@@ -55,6 +55,10 @@
 	return c
 }
 
+// idleConns is how many connections to workers are kept: a quarter of the sockets, as users and
+// reporting workers need theirs.
+func idleConns(sockets int) int { return max(64, sockets/4) }
+
 func coreConfig(p *settings.Platform, t *pb.Tuning) core.Config {
 	k := &p.Cluster
 	ms := func(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
@@ -62,7 +66,7 @@
 	cfg := core.Config{
 		Name: p.Name, Zone: p.Zone, Lease: ms(t.GetLeaseMs()), Shards: int(t.GetShards()),
 		WatchGap: ms(t.GetWatchGapMs()), ReadGap: ms(t.GetBarrierGapMs()),
-		StateRPS: k.State.RPS * t.GetWriteShare(), WriteRPS: k.State.WriteRPS * t.GetWriteShare(),
+		StateRPS: k.State.RPS, WriteRPS: k.State.WriteRPS, WriteShare: t.GetWriteShare(),
 		ValueBytes: int(k.State.ValueKB * 1024), TxnOps: k.State.TxnOps,
 		CloudRPS: max(1, k.Cloud.RPS*0.75), ListLag: sec(k.Cloud.ListLagS),
 		ReportEvery: sec(k.Workers.ReportS), WorkerLease: sec(k.Workers.LeaseS), CancelIn: sec(k.Workers.CancelS),
--- a/core/core.go
+++ b/core/core.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,10 @@
 	try       uint64
 }
 
+func (k attKey) compare(o attKey) int {
+	return cmp.Or(cmp.Compare(k.job, o.job), cmp.Compare(k.task, o.task), cmp.Compare(k.try, o.try))
+}
+
 // piece is a task as its machine reported it last.
 type piece struct {
 	state string
@@ -75,10 +80,16 @@
 	changed time.Duration // when its report or its assignments changed last
 	shown   time.Duration // when it was asked for its report last
 	noticed time.Duration // when the notice runs out; 0: none
+	digest  uint64        // of what it reported last
 	pieces  map[attKey]piece
 	asg     map[taskKey]asg
 	att     map[attKey]*attempt
 
+	occ      ccs.Vec // room taken, if occKnown
+	occKnown bool
+	stay     time.Duration // how long its tasks keep it, as of stayAt
+	stayAt   time.Duration
+
 	gone      bool // proof that it and all on it are gone
 	returning bool // its return was asked of the cloud
 	refused   time.Duration
@@ -90,7 +101,9 @@
 	sendKeys []attKey
 	misses   int // requests unanswered in a row
 	nextSend time.Duration
+	clearAt  time.Duration // when its ended tasks are to be forgotten; 0: none is
 	touched  bool
+	hot      bool // in the list of machines that may need orders
 	probed   time.Duration
 	images   map[string]bool
 	lead     leadMachine
@@ -108,6 +121,8 @@
 	dirty    bool
 	listed   bool          // in the list of open jobs
 	since    time.Duration // dirty since
+	lookAt   time.Duration // not looked at before, although dirty
+	ended    int           // assigned tasks that have completed, as their machines say
 	accept   *accept
 	cancels  []uint64
 	cancelMS int64
@@ -148,6 +163,7 @@
 	heard   time.Duration
 	known   bool
 	stateOK bool
+	used    float64 // changes of the state service a second
 }
 
 // Core is the state machine of one controller.
@@ -165,6 +181,7 @@
 	jobs       []*job
 	open       []*job     // those not over
 	alive      []*machine // those not known to be gone
+	hot        []*machine // those that may need orders
 	teamIdx    map[string]int
 	teams      []*team
 	peers      map[string]*peer
@@ -203,11 +220,23 @@
 
 	txns      map[uint64]*txn
 	writes    float64 // change budget
-	reads     float64
+	reads     float64 // request budget
+	writeRate float64 // what this controller may use of the service's limits, a second
+	readRate  float64
+	spent     float64       // changes since the others were told last
+	used      float64       // changes a second of late
+	settle    time.Duration // how long ends may wait to share a write
 	budgetAt  time.Duration
 	holdUntil time.Duration // after a 429
 
 	copy     ccs.Copy
+	copyRev  uint64 // revision and leader of the last push taken
+	copyTok  uint64
+	resendAt time.Duration
+	noRoom   []noRoom // claims that found no room since some became free
+	reports  []*wire.Report
+	heardOf  []Heard
+	wanted   map[string][]string // by controller: machines whose reports it has and this one lacks
 	deltas   []DeltaMsg
 	batches  map[string][]deltaBatch // of each controller, not yet counted by the leader
 	batchSeq uint64
@@ -215,10 +244,12 @@
 	healthAt time.Duration
 	placeAt  time.Duration
 	sweepAt  time.Duration
+	drainAt  time.Duration
 	room     bool // room may have become free
 	askAt    time.Duration
 
 	catalog   map[string]*wire.MachineType
+	types     []string // its names, sorted
 	catalogAt time.Duration
 	typesMark uint64       // of the kept catalog
 	typesKept wire.Catalog // as the state service holds it
@@ -262,12 +293,14 @@
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, txns: map[uint64]*txn{},
-		clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
-		writes: cfg.WriteRPS, reads: cfg.StateRPS}
+		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
+		settle: cfg.Settle}
 	c.copy.Expire = cfg.CopyExpire
 	for _, p := range cfg.Peers {
 		c.peers[p] = &peer{}
 	}
+	c.shareBudget()
+	c.writes, c.reads = c.writeRate, c.readRate
 	for i, t := range cfg.Teams {
 		c.teamIdx[t.Name] = i
 		c.teams = append(c.teams, &team{Team: t})
@@ -324,8 +357,8 @@
 }
 
 func (c *Core) mineShard(s int) bool {
-	return s >= 0 && s < len(c.shards) && c.lease != 0 && c.shards[s].mark != 0 &&
-		c.shards[s].Node == c.cfg.Name && c.shards[s].Lease == c.lease
+	return s >= 0 && s < len(c.shards) && c.lease != 0 && c.shards[s].Lease == c.lease && c.shards[s].mark != 0 &&
+		c.shards[s].Node == c.cfg.Name
 }
 
 func (c *Core) mine(j *job) bool { return c.mineShard(c.shardOf(j)) }
@@ -408,8 +441,8 @@
 	c.now = max(c.now, now)
 	dt := (c.now - c.budgetAt).Seconds()
 	c.budgetAt = c.now
-	c.writes = min(c.writes+dt*c.cfg.WriteRPS, max(c.cfg.WriteRPS, float64(c.cfg.TxnOps)))
-	c.reads = min(c.reads+dt*c.cfg.StateRPS, c.cfg.StateRPS)
+	c.writes = min(c.writes+dt*c.writeRate, max(c.writeRate, float64(c.cfg.TxnOps)))
+	c.reads = min(c.reads+dt*c.readRate, max(c.readRate, 4))
 	c.follow()
 	c.keepLease()
 	c.compact()
@@ -452,21 +485,46 @@
 		}
 		return
 	}
-	if !c.watching && c.now >= c.watchAt {
+	// A barrier brings the changes too: while users ask all the time, no watch is needed.
+	if !c.watching && c.now >= c.watchAt && !c.barrier && len(c.waiting) == 0 {
 		c.watching = true
-		c.watchAt = c.now + c.cfg.WatchGap
+		c.watchAt = c.now + c.gap(c.cfg.WatchGap, 0.25)
 		c.reads--
 		c.emit(Changes{From: c.seen, Hold: true})
 	}
 	if !c.barrier && len(c.waiting) > 0 && c.now >= c.barrierAt {
 		c.barrier = true
-		c.barrierAt = c.now + c.cfg.ReadGap
+		c.barrierAt = c.now + c.gap(c.cfg.ReadGap, 0.35)
 		c.inBarrier, c.waiting = c.waiting, nil
 		c.reads--
 		c.emit(Changes{From: c.seen})
 	}
 }
 
+// shareBudget works out this controller's part of what the state service takes from all of
+// them: an equal one, and of the changes also what the others leave.
+func (c *Core) shareBudget() {
+	live := float64(len(c.live()))
+	if len(c.nodes) == 0 {
+		live = float64(len(c.cfg.Peers) + 1)
+	}
+	left := 0.9 * c.cfg.WriteRPS
+	for _, n := range c.cfg.Peers {
+		if c.linked(n) {
+			left -= c.peers[n].used
+		} else if _, ok := c.nodes[n]; ok {
+			left -= c.cfg.WriteRPS / live
+		}
+	}
+	c.writeRate = min(max(c.cfg.WriteRPS/live, left), c.cfg.WriteRPS*c.cfg.WriteShare)
+	c.readRate = c.cfg.StateRPS / live
+}
+
+// gap is the time between two requests of a kind that may take a share of the request budget.
+func (c *Core) gap(least time.Duration, share float64) time.Duration {
+	return max(least, time.Duration(float64(time.Second)/(share*c.readRate)))
+}
+
 // afterBarrier calls f once all changes committed until now are known here, or with false.
 func (c *Core) afterBarrier(f func(ok bool)) {
 	if !c.loaded || len(c.waiting) > 20000 {
@@ -663,7 +721,7 @@
 		if cur, ok := m.asg[taskKey{j.idx, a.task}]; ok && cur == a {
 			delete(m.asg, taskKey{j.idx, a.task})
 		}
-		m.touched, m.changed = true, c.now
+		c.changedOn(m)
 		if tm != nil {
 			tm.cpu -= claim[0]
 			tm.gpu -= claim[1]
@@ -677,10 +735,14 @@
 		r.Spec.ID = j.id
 	}
 	tm, claim = c.claimOf(j)
+	j.ended = 0
 	for _, a := range place {
 		m := c.machines[a.machine]
 		m.asg[taskKey{j.idx, a.task}] = a
-		m.touched, m.changed = true, c.now
+		c.changedOn(m)
+		if p := m.pieces[attKey{j.idx, a.task, a.try}]; p.state == wire.TaskExited && p.cause == wire.CauseDone {
+			j.ended++
+		}
 		if tm != nil {
 			tm.cpu += claim[0]
 			tm.gpu += claim[1]
@@ -703,6 +765,12 @@
 
 // touch has a job looked at again.
 func (c *Core) touch(j *job) {
+	c.touchLater(j)
+	j.lookAt = 0
+}
+
+// touchLater has a job looked at again, when its last look asked for one.
+func (c *Core) touchLater(j *job) {
 	if !j.listed {
 		j.listed = true
 		c.open = append(c.open, j)
@@ -713,6 +781,41 @@
 	}
 }
 
+// touchMachine has a machine's orders looked at again.
+func (c *Core) touchMachine(m *machine) {
+	m.touched = true
+	if !m.hot {
+		m.hot = true
+		c.hot = append(c.hot, m)
+	}
+}
+
+// changedOn notes that a machine's tasks are others than they were.
+func (c *Core) changedOn(m *machine) {
+	m.changed, m.occKnown = c.now, false
+	c.touchMachine(m)
+}
+
+// digest is the same for two reports that say the same of their tasks, in whatever order.
+func digest(r *wire.Report) uint64 {
+	var sum uint64
+	var buf []byte
+	h := fnv.New64a()
+	for i := range r.Pieces {
+		p := &r.Pieces[i]
+		buf = append(buf[:0], p.Piece...)
+		buf = append(append(append(append(buf, ' '), p.Stage...), ' '), p.Cause...)
+		buf = strconv.AppendBool(strconv.AppendUint(append(buf, ' '), p.Try, 10), p.Kept)
+		h.Reset()
+		h.Write(buf)
+		sum += h.Sum64()
+	}
+	if r.NoticeS != nil {
+		sum++
+	}
+	return sum
+}
+
 // observe takes a worker's report. Older ones are ignored: reports may come late and by way
 // of other controllers.
 func (c *Core) observe(r *wire.Report, direct bool) {
@@ -720,15 +823,23 @@
 	if m.gone || r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
 		return
 	}
+	d := digest(r)
+	if m.up && m.session == r.Session && m.digest == d {
+		// Nothing new: most reports of a large fleet. The others need only know that it lives.
+		c.signOfLife(m, r.Seq, r.Token)
+		if direct {
+			c.heardOf = append(c.heardOf, Heard{r.Machine, r.Session, r.Seq, r.Token, d})
+		}
+		return
+	}
+	m.digest = d
 	if r.Session > m.session {
 		m.images = map[string]bool{}
 	}
-	fresh := !m.up
+	fresh, renewed := !m.up, m.session != r.Session
 	m.up = true
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
-	changed := m.session != r.Session || m.token != r.Token
-	m.session, m.seq, m.token = r.Session, r.Seq, max(m.token, r.Token)
-	m.heard = c.now
+	m.session = r.Session
 	if r.NoticeS != nil {
 		m.noticed = c.now + time.Duration(*r.NoticeS*float64(time.Second))
 		if *r.NoticeS < 0 || *r.NoticeS > 1e6 {
@@ -750,27 +861,38 @@
 			n.since = c.now
 		}
 		next[k] = n
-		if !old.same(n) {
-			changed = true
-			c.touch(j)
-			if a, ok := m.asg[taskKey{j.idx, int32(t)}]; ok && a.try == p.Try && p.Stage == wire.TaskExited {
+		delete(m.pieces, k)
+		if old.same(n) {
+			continue
+		}
+		a, assigned := m.asg[taskKey{j.idx, int32(t)}]
+		assigned = assigned && a.try == p.Try && a.session == m.session
+		if p.Stage == wire.TaskExited {
+			if assigned {
 				c.freed(j, a)
+				if p.Cause == wire.CauseDone {
+					j.ended++
+				}
 			}
-			if p.Stage == wire.TaskExited {
-				m.judge(j, p.Cause)
-			}
-			if p.Stage == wire.TaskRunning && j.rec != nil && j.rec.Spec != nil {
-				m.images[j.rec.Spec.Image] = true
+			if p.Cause == wire.CauseDone && assigned && !j.final() && j.rec != nil && j.rec.Spec != nil &&
+				j.rec.Done.count()+j.ended < j.rec.Spec.Tasks {
+				c.touchLater(j) // others of its tasks run on: the write of this end may wait for theirs
+			} else {
+				c.touch(j)
 			}
+			m.judge(j, p.Cause)
+		}
+		if p.Stage == wire.TaskRunning && j.rec != nil && j.rec.Spec != nil {
+			m.images[j.rec.Spec.Image] = true
 		}
 	}
-	if len(next) != len(m.pieces) {
-		changed = true
+	for k := range m.pieces { // what is not reported any more
+		c.touch(c.jobs[k.job])
 	}
 	m.pieces = next
-	if changed || fresh {
-		m.touched = true
-		m.changed = c.now
+	c.signOfLife(m, r.Seq, r.Token)
+	c.changedOn(m)
+	if fresh || renewed {
 		for _, a := range m.sortedTasks() {
 			c.touch(c.jobs[a.job])
 		}
@@ -779,11 +901,56 @@
 		c.room = true
 	}
 	if direct {
-		c.tell("", Msg{Report: r})
+		c.reports = append(c.reports, r)
 	}
 	c.leadSaw(m)
 }
 
+// signOfLife notes that a machine gave a sign of life with these numbers. A higher token
+// settles what became of earlier orders.
+func (c *Core) signOfLife(m *machine, seq, token uint64) {
+	m.heard, m.seq = c.now, seq
+	if token > m.token {
+		m.token = token
+		m.changed = c.now
+		c.touchMachine(m)
+		for _, a := range m.sortedTasks() {
+			if j := c.jobs[a.job]; j.final() {
+				c.touch(j)
+			}
+		}
+	}
+}
+
+// heard takes the news that a machine reported nothing new to another controller.
+func (c *Core) heard(peer string, h Heard) {
+	m := c.machine(h.Machine)
+	if m.gone || h.Session < m.session || h.Session == m.session && h.Seq <= m.seq {
+		return
+	}
+	if m.up && m.session == h.Session && m.digest == h.Digest {
+		c.signOfLife(m, h.Seq, h.Token)
+		return
+	}
+	// What changed there before was not heard of here.
+	m.heard = c.now
+	c.wanted[peer] = append(c.wanted[peer], h.Machine)
+}
+
+// reportOf is a machine's last report, for a controller that lacks it.
+func (c *Core) reportOf(m *machine) *wire.Report {
+	r := &wire.Report{Machine: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq, Token: m.token}
+	if m.noticed != 0 {
+		left := (m.noticed - c.now).Seconds()
+		r.NoticeS = &left
+	}
+	for _, k := range m.sortedPieces() {
+		p := m.pieces[k]
+		r.Pieces = append(r.Pieces, wire.Piece{Piece: wire.TaskName(c.jobs[k.job].id, int(k.task)), Try: k.try, Stage: p.state, Cause: p.cause, Kept: p.kept})
+	}
+	return r
+}
+
 // judge draws conclusions about a machine from the end of a task there.
 func (m *machine) judge(j *job, cause string) {
 	switch cause {
@@ -809,6 +976,7 @@
 		return
 	}
 	m.gone = true
+	c.copy.Drop(m.idx)
 	for _, a := range m.sortedTasks() {
 		c.touch(c.jobs[a.job])
 	}
@@ -835,9 +1003,7 @@
 	for k := range m.pieces {
 		out = append(out, k)
 	}
-	slices.SortFunc(out, func(x, y attKey) int {
-		return cmp.Or(cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task), cmp.Compare(x.try, y.try))
-	})
+	slices.SortFunc(out, attKey.compare)
 	return out
 }
 
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 func testConfig() Config {
 	return Config{Name: "n0", Peers: []string{"n1", "n2"}, Teams: []Team{{Name: "t"}}, Lease: 4 * time.Second, Shards: 4,
-		StateRPS: 100, WriteRPS: 100, ValueBytes: 8192, TxnOps: 12, CloudRPS: 4, ReportEvery: 3 * time.Second,
+		StateRPS: 100, WriteRPS: 100, WriteShare: 0.6, ValueBytes: 8192, TxnOps: 12, CloudRPS: 4, ReportEvery: 3 * time.Second,
 		WorkerLease: 20 * time.Second, CancelIn: 40 * time.Second, DeltaEvery: 50 * time.Millisecond, PushEvery: 200 * time.Millisecond,
 		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 6 * time.Second, BootPatience: 3}
 }
@@ -75,27 +76,81 @@
 	}
 }
 
-// A job of the largest size must fit a value at every stage of its work.
+// A job of the largest size must fit a value at every stage of its work, also when its tasks
+// end in the order that leaves most pieces: every other one first.
 func TestLargestJobFitsAValue(t *testing.T) {
+	for _, perMachine := range []int{1, 8} {
+		c := New(testConfig(), 0, 1)
+		spec := &wire.Spec{ID: "wk-1", Class: "c", Team: "t", Tasks: wire.MaxTasks, Claim: [3]int64{100, 0, 100}}
+		rec := &record{Spec: spec, Done: ranges{0, 90_000}, Tries: 91_000}
+		var place []asg
+		least := 1 << 20
+		for round := 0; round < 40; round++ {
+			p := &proposal{rec: rec, spec: spec, place: place}
+			for i, task := range waiting(rec, place, c.maxPlaced()-len(place)) {
+				m := c.machine(wire.TaskName("m", 100000+1000*round+i/perMachine))
+				m.zone = "a-zone"
+				rec.Tries++
+				a := asg{task, m.idx, 1, rec.Tries}
+				p.place, p.started = append(p.place, a), append(p.started, a)
+			}
+			if _, err := c.fitValue(p); err != nil {
+				t.Fatal(err)
+			}
+			least = min(least, len(p.place))
+			var odd []asg
+			for i, a := range p.place {
+				if i%2 == 0 {
+					odd = append(odd, a)
+					continue
+				}
+				rec.Done = rec.Done.add(int(a.task))
+				if raw, err := c.encode(rec, append(slices.Clone(odd), p.place[i+1:]...)); err != nil || len(raw) > c.cfg.ValueBytes {
+					t.Fatalf("round %d: %d bytes, at most %d fit (%v)", round, len(raw), c.cfg.ValueBytes, err)
+				}
+			}
+			place = odd
+			if round%2 == 1 { // then all the rest
+				for _, a := range place {
+					rec.Done = rec.Done.add(int(a.task))
+				}
+				place = nil
+			}
+		}
+		if least < 150 {
+			t.Errorf("only %d tasks placed at one time", least)
+		}
+	}
+}
+
+// Jobs of hundreds of tasks once were placed in portions of 170, each waiting for the ends of
+// the one before.
+func TestJobOfHundredsIsPlacedAtOnce(t *testing.T) {
 	c := New(testConfig(), 0, 1)
-	spec := &wire.Spec{ID: "wk-1", Class: "c", Team: "t", Tasks: wire.MaxTasks, Claim: [3]int64{100, 0, 100}}
-	rec := &record{Spec: spec}
-	// The worst pattern: every other task below the frontier is still assigned, each on its own machine.
-	n := c.maxPlaced()
-	var place []asg
-	for i := 0; i < n; i++ {
-		m := c.machine(wire.TaskName("m", 100000+i))
-		m.zone = "a-zone"
-		place = append(place, asg{int32(99000 + 2*i), m.idx, 1, uint64(99000 + i)})
-		rec.Done = rec.Done.add(99001 + 2*i)
-	}
-	p := &proposal{rec: rec, spec: spec, place: place, started: place[50:]}
+	spec := &wire.Spec{ID: "wk-1", Class: "some-class", Team: "t", Tasks: 500, Claim: [3]int64{4000, 0, 8900}, Image: "an-image"}
+	p := &proposal{rec: &record{Spec: spec, Tries: 500}, spec: spec}
+	for i := 0; i < 500; i++ {
+		m := c.machine(wire.TaskName("m", 100000+i/5))
+		m.zone = []string{"a-zone", "b-zone"}[i/5%2]
+		p.place = append(p.place, asg{int32(i), m.idx, 1, uint64(i + 1)})
+	}
+	p.started = p.place
 	raw, err := c.fitValue(p)
-	if err != nil || len(raw) > c.cfg.ValueBytes {
-		t.Errorf("%d tasks take %d bytes, at most %d fit (%v)", len(p.place), len(raw), c.cfg.ValueBytes, err)
+	if err != nil || len(p.place) != 500 {
+		t.Fatalf("%d of 500 tasks placed (%v)", len(p.place), err)
 	}
-	if len(p.place) < 60 || len(p.place)-50 != len(p.started) {
-		t.Errorf("%d tasks placed, %d started", len(p.place), len(p.started))
+	r, err := decodeRecord(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := map[asg]bool{}
+	for _, a := range c.unpack(r) {
+		back[a] = true
+	}
+	for _, a := range p.place {
+		if !back[a] {
+			t.Fatalf("%+v was lost", a)
+		}
 	}
 }
 
@@ -279,7 +334,7 @@
 	c.Handle(4*time.Second, Beat{Req: 9, Report: report(1)})
 	via := 0
 	for _, o := range outputs[ToPeer](c.Advance(4 * time.Second)) {
-		if o.Msg.Report == nil {
+		if o.Msg.Reports == nil {
 			continue
 		}
 		if o.Peer != "n2" {
--- a/core/lead.go
+++ b/core/lead.go
@@ -16,6 +16,7 @@
 // leadMachine is what the leader keeps about a machine.
 type leadMachine struct {
 	seeded    bool
+	seededAt  time.Duration
 	wrong     bool // a start was refused although the row showed room
 	lastDelta time.Duration
 	rented    time.Duration // when it was rented, by our clock; 0: not known
@@ -48,16 +49,20 @@
 
 // lead is the state of the leader's term: the array, and the dealings with the cloud.
 type lead struct {
-	token   uint64
-	since   time.Duration
-	array   *ccs.Array
-	acks    map[string]uint64
-	pushAt  time.Duration
-	planAt  time.Duration
-	noteAt  time.Duration
-	listAt  time.Duration
-	listed  bool
-	listing bool
+	token    uint64
+	since    time.Duration
+	array    *ccs.Array
+	acks     map[string]uint64
+	pushAt   time.Duration
+	pushed   time.Duration
+	pushRev  uint64        // of the array, as it was pushed last; 0: not yet
+	fullAt   time.Duration // when the whole array is due again
+	planAt   time.Duration
+	noteAt   time.Duration
+	listAt   time.Duration
+	listed   bool
+	listing  bool
+	listFrom string // the next page begins after this machine
 
 	rentals  map[string]*rental
 	blocked  map[pool]time.Duration
@@ -66,7 +71,8 @@
 	callsAt  time.Duration
 	backoff  time.Duration
 	returnOp bool
-	gone     []string
+	gone     []string                // told with every whole array
+	goneNew  []string                // told with the next push
 	stops    []StopMsg               // for the next push
 	stopped  map[int32]time.Duration // when room was last made for a job
 	cleanup  []string                // failed machines that are still listed
@@ -126,7 +132,7 @@
 		next[t.Name] = t
 	}
 	if len(next) > 0 {
-		c.catalog = next
+		c.catalog, c.types = next, sortedKeys(next)
 	}
 }
 
@@ -183,11 +189,17 @@
 		c.rentSome()
 		c.returnSome()
 	}
-	if c.now >= l.pushAt || l.pushNow {
+	if c.now >= l.pushAt || l.pushNow && c.now >= l.pushed+pushGap {
 		c.push()
 	}
 }
 
+const (
+	pushGap   = 100 * time.Millisecond // between two pushes, however much there is to tell
+	wholePush = 10 * time.Second       // between two pushes of the whole array: the paper's interval
+	goneKept  = 2000
+)
+
 // leadSaw seeds a machine's row from its report.
 func (c *Core) leadSaw(m *machine) {
 	if c.lead == nil || m.gone || !m.up || m.lead.seeded || c.catalog == nil {
@@ -201,6 +213,9 @@
 
 // occupied is the room taken on a machine, by the committed assignments and its report.
 func (c *Core) occupied(m *machine) ccs.Vec {
+	if m.occKnown {
+		return m.occ
+	}
 	var occ ccs.Vec
 	for k, a := range m.asg {
 		if p := m.pieces[attKey{k.job, k.task, a.try}]; p.state == wire.TaskExited {
@@ -210,6 +225,7 @@
 			occ = occ.Add(s.Claim, 1)
 		}
 	}
+	known := true
 	for k, p := range m.pieces {
 		if p.state == wire.TaskExited {
 			continue
@@ -219,8 +235,11 @@
 		}
 		if r := c.jobs[k.job].rec; r != nil && r.Spec != nil {
 			occ = occ.Add(r.Spec.Claim, 1)
+		} else {
+			known = false // its job's record may come, without a change here
 		}
 	}
+	m.occ, m.occKnown = occ, known
 	return occ
 }
 
@@ -250,10 +269,11 @@
 	}
 }
 
-// push sends the array to all controllers.
+// push sends the array to all controllers: the rows that changed since the last push, and from
+// time to time all of them.
 func (c *Core) push() {
 	l := c.lead
-	l.pushAt, l.pushNow = c.now+c.cfg.PushEvery, false
+	l.pushAt, l.pushNow, l.pushed = c.now+c.cfg.PushEvery, false, c.now
 	for _, m := range c.alive {
 		if m.gone || !m.up {
 			continue
@@ -266,30 +286,44 @@
 		if m.lead.wrong {
 			quiet = 300 * time.Millisecond
 		}
-		if !m.lead.seeded || c.now-max(m.lead.lastDelta, m.changed) > 2*c.cfg.DeltaEvery+quiet {
+		last := max(m.lead.lastDelta, m.changed)
+		if !m.lead.seeded || last >= m.lead.seededAt && c.now-last > 2*c.cfg.DeltaEvery+quiet {
 			m.lead.wrong = false
 			m.lead.seeded = c.seed(m)
+			m.lead.seededAt = c.now
 		}
 		l.array.Offer(m.idx, c.offered(m), m.lead.closed, m.lead.keep)
 	}
-	p := &Push{Token: l.token, Acks: map[string]uint64{}}
+	p := &Push{Token: l.token, Acks: map[string]uint64{}, After: l.pushRev}
 	for k, v := range l.acks {
 		p.Acks[k] = v
 	}
-	for _, r := range l.array.Rows() {
+	p.Gone, l.goneNew = l.goneNew, nil
+	if c.now >= l.fullAt || l.pushRev == 0 {
+		p.After = 0
+		l.fullAt = c.now + wholePush
+		l.gone = l.gone[max(0, len(l.gone)-goneKept):]
+		p.Gone = slices.Clone(l.gone)
+	}
+	rows, rev := l.array.Rows(p.After)
+	p.Rev, l.pushRev = rev, rev
+	for _, r := range rows {
 		m := c.machines[r.Machine]
 		p.Rows = append(p.Rows, PushRow{Machine: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot,
 			Avail: r.Avail, Occ: r.Occ, Keep: r.Keep, Last: r.Last, Closed: !r.Offered})
 	}
-	if len(l.gone) > 300 {
-		l.gone = slices.Clone(l.gone[len(l.gone)-300:])
-	}
-	p.Gone = slices.Clone(l.gone)
 	p.Stop, l.stops = l.stops, nil
 	c.tell("", Msg{Push: p})
 	c.pushed(p)
 }
 
+// tellGone has the others told that a machine is gone.
+func (l *lead) tellGone(name string) {
+	l.gone = append(l.gone, name)
+	l.goneNew = append(l.goneNew, name)
+	l.pushNow = true
+}
+
 // asked returns machines whose tasks' owners need proof that they are gone. For silence the
 // leader's own ears count.
 func (l *lead) asked(c *Core, must, silent []string) {
@@ -298,10 +332,9 @@
 		if !m.gone {
 			return m
 		}
-		if !slices.Contains(l.gone, n) {
-			l.gone = append(l.gone, n)
+		if !slices.Contains(l.goneNew, n) {
+			l.tellGone(n)
 		}
-		l.pushNow = true
 		return nil
 	}
 	for _, n := range must {
@@ -341,13 +374,14 @@
 
 const noCapacity = "no capacity"
 
-// getList reads the cloud's list of machines.
+// getList reads the cloud's list of machines, a page a call: a large fleet takes several, and
+// the calls are few.
 func (c *Core) getList() {
 	l := c.lead
 	if l.listing || c.now < l.listAt {
 		return
 	}
-	l.listing = c.callCloud(CloudOp{Op: "list"}, func(in Clouded) {
+	l.listing = c.callCloud(CloudOp{Op: "list", From: l.listFrom}, func(in Clouded) {
 		if c.lead != l {
 			return
 		}
@@ -356,8 +390,15 @@
 			l.listAt = c.now + time.Second
 			return
 		}
-		l.listed = true
-		l.listAt = c.now + 2500*time.Millisecond
+		l.listAt = c.now + listEvery
+		l.listFrom = ""
+		if n := len(in.Machines); in.More && n > 0 {
+			l.listFrom = in.Machines[n-1].Name
+			if !l.listed {
+				l.listAt = c.now
+			}
+		}
+		l.listed = l.listed || l.listFrom == ""
 		for _, e := range in.Machines {
 			m := c.machine(e.Name)
 			if m.gone {
@@ -381,14 +422,15 @@
 	})
 }
 
+const listEvery = 2500 * time.Millisecond // between two pages of the cloud's list
+
 // proved records and tells proof that a machine is gone.
 func (c *Core) proved(m *machine) {
 	if m.gone {
 		return
 	}
 	c.markGone(m)
-	c.lead.gone = append(c.lead.gone, m.name)
-	c.lead.pushNow = true
+	c.lead.tellGone(m.name)
 }
 
 // watchMachines finds machines that must be returned: silent ones, those that never came up,
@@ -490,9 +532,11 @@
 	soon    ccs.Vec // room of tasks that should end before a new machine could be up
 	keep    ccs.Vec
 	horizon time.Duration // how long its tasks keep it
-	stopped []asg2        // tasks that were told to make room
-	busy    bool          // it has tasks
-	used    bool          // a need was put into it
+	step    time.Duration // that, in steps of the setting
+	free    float64
+	stopped []asg2 // tasks that were told to make room
+	busy    bool   // it has tasks
+	used    bool   // a need was put into it
 }
 
 type need struct {
@@ -554,9 +598,11 @@
 	needs := c.needs()
 	order := map[pool]int{}
 	var pools []pool // in the order of urgency
+	h := c.newShelf(bins)
 	for _, n := range needs {
-		bins = c.fit(n, bins, order, &pools)
+		c.fit(n, h, order, &pools)
 	}
+	bins = h.bins
 	for _, p := range pools {
 		for n := order[p]; n > 0; {
 			k := min(n, 50)
@@ -768,8 +814,62 @@
 	return v
 }
 
-// fit puts a need into the bins, those that stay longest first, and orders machines for what does not fit.
-func (c *Core) fit(n need, bins []*bin, order map[pool]int, pools *[]pool) []*bin {
+// shelf is the room of a plan in the order in which needs fill it.
+type shelf struct {
+	bins  []*bin
+	order [2][]*bin // for work that may not use spot machines, and for work that may
+	have  map[pool]int
+	zone  map[string]int
+}
+
+// newShelf orders bins. Machines that stay longest are filled first, so that the others empty;
+// ordinary ones without services come last for work that may use spot machines.
+func (c *Core) newShelf(bins []*bin) *shelf {
+	h := &shelf{bins: bins, have: map[pool]int{}, zone: map[string]int{}}
+	for _, b := range bins {
+		h.have[b.pool]++
+		h.zone[b.pool.zone]++
+		r := ccs.Row{Avail: b.avail, Occ: b.room.Add(b.avail, -1)}
+		b.free = r.FreeShare()
+		if c.cfg.HorizonStep > 0 {
+			b.step = b.horizon / c.cfg.HorizonStep
+		}
+	}
+	flag := func(x bool) int {
+		if x {
+			return 1
+		}
+		return 0
+	}
+	for spot := range h.order {
+		for _, b := range bins {
+			if spot == 1 || !b.pool.spot {
+				h.order[spot] = append(h.order[spot], b)
+			}
+		}
+		slices.SortStableFunc(h.order[spot], func(x, y *bin) int {
+			if spot == 1 && x.pricey() != y.pricey() {
+				return flag(x.pricey()) - flag(y.pricey())
+			}
+			return cmp.Or(cmp.Compare(y.step, x.step), flag(y.busy)-flag(x.busy), cmp.Compare(x.free, y.free))
+		})
+	}
+	return h
+}
+
+// add puts a machine that is to be rented on the shelf.
+func (h *shelf) add(b *bin) {
+	h.bins = append(h.bins, b)
+	h.order[1] = append(h.order[1], b)
+	if !b.pool.spot {
+		h.order[0] = append(h.order[0], b)
+	}
+	h.have[b.pool]++
+	h.zone[b.pool.zone]++
+}
+
+// fit puts a need on the shelf, and orders machines for what does not fit.
+func (c *Core) fit(n need, h *shelf, order map[pool]int, pools *[]pool) {
 	s := n.spec
 	limit := (s.Tasks + 1) / 2
 	room := func(zone string) int64 {
@@ -791,59 +891,32 @@
 		n.n -= int(k)
 		n.zones[b.pool.zone] += int(k)
 	}
-	var cand []*bin
 	may := func(b *bin) bool {
 		return c.typeAllowed(s, b.pool.typ) && (s.Zone == "" || s.Zone == b.pool.zone) && (s.Spot || !b.pool.spot)
 	}
-	for _, b := range bins {
-		if may(b) && capacity(b.avail, s.Claim) > 0 {
-			cand = append(cand, b)
-		}
+	shelf := h.order[0]
+	if s.Spot {
+		shelf = h.order[1]
 	}
-	free := func(b *bin) float64 {
-		r := ccs.Row{Avail: b.avail, Occ: b.room.Add(b.avail, -1)}
-		return r.FreeShare()
-	}
-	// Machines that stay longest are filled first, so that the others empty; ordinary ones
-	// without services come last for work that may use spot machines.
-	slices.SortStableFunc(cand, func(x, y *bin) int {
-		if s.Spot && x.pricey() != y.pricey() {
-			if y.pricey() {
-				return -1
-			}
-			return 1
-		}
-		if c.cfg.HorizonStep > 0 {
-			if d := cmp.Compare(y.horizon/c.cfg.HorizonStep, x.horizon/c.cfg.HorizonStep); d != 0 {
-				return d
-			}
-		}
-		if x.busy != y.busy {
-			if x.busy {
-				return -1
+	fill := func(when func(*bin) bool) {
+		for _, b := range shelf {
+			if n.n <= 0 {
+				return
 			}
-			return 1
-		}
-		return cmp.Compare(free(x), free(y))
-	})
-	if !n.reserve && s.Service {
-		for _, b := range cand {
-			if n.n > 0 && b.m != nil && b.m.up {
+			if ccs.Vec(b.avail).Fits(s.Claim) && may(b) && when(b) {
 				put(b)
 			}
 		}
-		n.n -= c.makeRoom(n, bins, room)
 	}
-	for _, b := range cand {
-		if n.n <= 0 {
-			return bins
-		}
-		put(b)
+	if !n.reserve && s.Service {
+		fill(func(b *bin) bool { return b.m != nil && b.m.up })
+		n.n -= c.makeRoom(n, h.bins, room)
 	}
+	fill(func(*bin) bool { return true })
 	if !n.reserve {
-		for _, b := range bins {
+		for _, b := range shelf {
 			if n.n <= 0 {
-				return bins
+				return
 			}
 			if b.soon == (ccs.Vec{}) || !may(b) {
 				continue
@@ -856,8 +929,8 @@
 			}
 		}
 	}
-	for guard := 0; n.n > 0 && guard < 200; guard++ {
-		p, ok := c.choosePool(s, n, room, bins)
+	for n.n > 0 {
+		p, ok := c.choosePool(s, n, room, h)
 		if !ok {
 			break
 		}
@@ -867,10 +940,9 @@
 			*pools = append(*pools, p)
 		}
 		order[p]++
-		bins = append(bins, b)
+		h.add(b)
 		put(b)
 	}
-	return bins
 }
 
 const roomAgain = 4 * time.Second // room is made for a job once in this time
@@ -882,32 +954,42 @@
 	if at, ok := l.stopped[n.job.idx]; n.n <= 0 || ok && c.now-at < roomAgain {
 		return max(0, n.n) // what was stopped is about to go
 	}
-	made := 0
-	for made < n.n {
-		var best *bin
-		var victims []asg2
-		var bestCost time.Duration
-		for _, b := range bins {
-			if b.m == nil || !b.m.up || !c.usable(b.m) || !c.allowed(n.spec, b.m) || n.spec.Spread && room(b.pool.zone) <= 0 {
-				continue
-			}
-			if vs, cost, ok := c.victims(n, b); ok && (best == nil || cost < bestCost) {
-				best, victims, bestCost = b, vs, cost
-			}
+	type place struct {
+		bin     *bin
+		victims []asg2
+		cost    time.Duration
+	}
+	var places []place
+	for _, b := range bins {
+		if b.m == nil || !b.m.up || !c.usable(b.m) || !c.allowed(n.spec, b.m) {
+			continue
+		}
+		if vs, cost, ok := c.victims(n, b); ok {
+			places = append(places, place{b, vs, cost})
 		}
-		if best == nil {
+	}
+	slices.SortStableFunc(places, func(x, y place) int { return cmp.Compare(x.cost, y.cost) })
+	made := 0
+	for _, p := range places {
+		if made >= n.n {
 			break
 		}
-		for _, v := range victims {
-			l.stops = append(l.stops, StopMsg{Machine: best.m.name, Job: c.jobs[v.job].id, Task: v.task, Try: v.try})
-			best.avail = best.avail.Add(c.jobs[v.job].rec.Spec.Claim, 1)
-			best.stopped = append(best.stopped, v)
+		b := p.bin
+		if n.spec.Spread && room(b.pool.zone) <= 0 {
+			continue
+		}
+		for _, v := range p.victims {
+			l.stops = append(l.stops, StopMsg{Machine: b.m.name, Job: c.jobs[v.job].id, Task: v.task, Try: v.try})
+			b.avail = b.avail.Add(c.jobs[v.job].rec.Spec.Claim, 1)
+			b.stopped = append(b.stopped, v)
 		}
-		best.avail = best.avail.Add(n.spec.Claim, -1)
-		best.keep = best.keep.Add(n.spec.Claim, 1)
-		best.used = true
-		n.zones[best.pool.zone]++
-		made++
+		for made < n.n && b.avail.Fits(n.spec.Claim) && room(b.pool.zone) > 0 {
+			b.avail = b.avail.Add(n.spec.Claim, -1)
+			b.keep = b.keep.Add(n.spec.Claim, 1)
+			n.zones[b.pool.zone]++
+			made++
+		}
+		b.used = true
 	}
 	if made > 0 {
 		l.stopped[n.job.idx] = c.now
@@ -944,16 +1026,10 @@
 
 // choosePool is the cheapest kind of machine for the rest of a need, by price per task that
 // it takes, with regard to its boot time; among equals the zone with fewest machines.
-func (c *Core) choosePool(s *wire.Spec, n need, room func(string) int64, bins []*bin) (pool, bool) {
-	have := map[pool]int{}
-	zone := map[string]int{}
-	for _, b := range bins {
-		have[b.pool]++
-		zone[b.pool.zone]++
-	}
+func (c *Core) choosePool(s *wire.Spec, n need, room func(string) int64, h *shelf) (pool, bool) {
 	var best pool
 	bestScore, found := 0.0, false
-	for _, name := range sortedKeys(c.catalog) {
+	for _, name := range c.types {
 		t := c.catalog[name]
 		if !c.typeAllowed(s, name) {
 			continue
@@ -978,7 +1054,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				score := price / float64(k) * (1 + t.BootS/120) * (1 + 0.01*float64(have[p]) + 0.001*float64(zone[z]))
+				score := price / float64(k) * (1 + t.BootS/120) * (1 + 0.01*float64(h.have[p]) + 0.001*float64(h.zone[z]))
 				if !found || score < bestScore {
 					best, bestScore, found = p, score, true
 				}
--- a/core/orders.go
+++ b/core/orders.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"dewlift/wire"
@@ -14,14 +15,21 @@
 	if !c.leaseOK() && !c.outage() {
 		return
 	}
-	for _, m := range c.alive {
-		if m.gone || !m.up || m.send != 0 || c.now < m.nextSend || !m.touched && c.now < m.probed+orderAgain {
-			continue
+	// Only machines where something changed or is not settled yet are looked at.
+	c.hot = slices.DeleteFunc(c.hot, func(m *machine) bool {
+		if m.gone || !m.up {
+			m.hot = false // its first report touches it again
+			return true
+		}
+		if m.send != 0 || c.now < m.nextSend || !m.touched && c.now < m.probed+orderAgain {
+			return false
 		}
 		m.touched = false
 		m.probed = c.now
-		c.orderMachine(m)
-	}
+		open := c.orderMachine(m)
+		m.hot = open || m.send != 0
+		return !m.hot
+	})
 }
 
 func (c *Core) attempt(m *machine, k attKey) *attempt {
@@ -33,9 +41,14 @@
 	return a
 }
 
-func (c *Core) orderMachine(m *machine) {
-	var list []wire.Order
-	var keys []attKey
+// orderMachine sends what a machine must be told now, and reports whether another look is due.
+func (c *Core) orderMachine(m *machine) (open bool) {
+	type due struct {
+		attKey
+		order wire.Order
+	}
+	var list []due
+	var keys, clears []attKey
 	add := func(op string, k attKey, grace float64) {
 		a := c.attempt(m, k)
 		if a.everSent && c.now-a.sent < orderAgain {
@@ -51,15 +64,16 @@
 			keys = append(keys, k)
 			c.Stats.Starts++
 		}
-		list = append(list, o)
+		list = append(list, due{k, o})
 	}
-	for _, t := range m.sortedTasks() {
+	for t, at := range m.asg {
 		j := c.jobs[t.job]
-		if t.session != m.session || !c.mine(j) {
+		if at.session != m.session || !c.mine(j) {
 			continue
 		}
-		k := attKey{t.job, t.task, t.try}
+		k := attKey{t.job, t.task, at.try}
 		p, there := m.pieces[k]
+		open = open || !there || j.final()
 		switch {
 		case !there && !j.final():
 			if m.noticed == 0 && !m.returning && c.leaseOK() && len(j.cancels) == 0 {
@@ -71,16 +85,18 @@
 			add(wire.OpStop, k, 0)
 		default:
 			if a := m.att[k]; a != nil && a.stop != "" && p.state != wire.TaskSaving {
+				open = true
 				add(wire.OpStop, k, a.grace)
 			}
 		}
 	}
-	for _, k := range m.sortedPieces() {
-		p, j := m.pieces[k], c.jobs[k.job]
-		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.try == k.try && a.session == m.session {
+	for k, p := range m.pieces {
+		j := c.jobs[k.job]
+		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.try == k.try && a.session == m.session || !c.mine(j) {
 			continue
 		}
-		if !c.mine(j) || j.inflight || j.resync || !c.settled(m, j, k) {
+		open = true
+		if j.inflight || j.resync || !c.settled(m, j, k) {
 			continue
 		}
 		if j.mark == 0 && !c.orphan(m, j, k) {
@@ -89,12 +105,24 @@
 		// No record assigns it here: it has ended and that is committed, or it never should be.
 		c.again(m, k)
 		if p.state == wire.TaskExited {
-			add(wire.OpForget, k, 0)
+			clears = append(clears, k)
 		} else {
 			add(wire.OpStop, k, 0)
 		}
 	}
+	// Nobody waits for a task to be forgotten: that goes with other orders, or after a while.
+	if len(clears) == 0 {
+		m.clearAt = 0
+	} else if m.clearAt == 0 {
+		m.clearAt = c.now + clearWait
+	}
+	if len(list) > 0 || m.clearAt != 0 && c.now >= m.clearAt || len(clears) > clearMost {
+		for _, k := range clears {
+			add(wire.OpForget, k, 0)
+		}
+	}
 	for k, a := range m.att { // what is neither recorded nor reported is over
+		open = open || a.inFlight
 		if _, ok := m.pieces[k]; ok || a.inFlight || c.now-a.sent < 10*time.Second {
 			continue
 		}
@@ -105,20 +133,31 @@
 		}
 	}
 	if len(list) == 0 {
-		return
+		return open
+	}
+	slices.SortFunc(list, func(x, y due) int { return x.compare(y.attKey) })
+	body := wire.OrdersBody{Token: c.epoch, Session: m.session}
+	for _, d := range list {
+		body.Orders = append(body.Orders, d.order)
 	}
 	id := c.id()
 	m.send, m.sendTok, m.sendKeys = id, c.epoch, keys
-	o := Orders{ID: id, Machine: m.name, Addr: m.addr, Body: wire.OrdersBody{Token: c.epoch, Session: m.session, Orders: list}}
+	o := Orders{ID: id, Machine: m.name, Addr: m.addr, Body: body}
 	if by := c.otherWay(m); by != "" {
 		c.sends[id] = send{m.idx, c.now + passTime}
 		c.emit(ToPeer{Peer: by, Msg: Msg{Orders: &o}})
-		return
+		return true
 	}
 	c.sends[id] = send{machine: m.idx}
 	c.emit(o)
+	return true
 }
 
+const (
+	clearWait = 2 * time.Second // that ended tasks wait to be forgotten together
+	clearMost = 8
+)
+
 const passTime = 3 * time.Second // for orders passed on by another controller
 
 // otherWay is the peer by which a machine that does not answer is tried, every other time.
@@ -155,7 +194,7 @@
 		c.afterBarrier(func(ok bool) {
 			a.asked = false
 			a.orphan = ok && j.mark == 0
-			m.touched = true
+			c.touchMachine(m)
 		})
 	}
 	return a.orphan
@@ -200,7 +239,7 @@
 		}
 	}
 	m.sendKeys = nil
-	m.touched = true
+	c.touchMachine(m)
 	if in.Report != nil && in.Report.Machine == m.name {
 		c.observe(in.Report, true)
 	}
@@ -224,13 +263,17 @@
 		a.grace = float64(s.SaveMS)/1000 + 1
 	}
 	c.again(m, k)
-	m.touched = true
+	c.touchMachine(m)
 }
 
 // drain stops the tasks of machines that the cloud is about to take, where waiting for the end
 // gains nothing: those that should not complete in time restart elsewhere at once, and those
 // that save are given the time for it.
 func (c *Core) drain() {
+	if c.now < c.drainAt {
+		return
+	}
+	c.drainAt = c.now + 100*time.Millisecond
 	for _, m := range c.alive {
 		if m.gone || m.noticed == 0 {
 			continue
--- a/core/own.go
+++ b/core/own.go
@@ -198,13 +198,13 @@
 		if j.rec != nil && j.rec.Shard == n {
 			c.touch(j)
 			for _, a := range j.place {
-				c.machines[a.machine].touched = true
+				c.touchMachine(c.machines[a.machine])
 			}
 		}
 	}
 	c.room = true
 	for _, m := range c.alive {
-		m.touched = true
+		c.touchMachine(m)
 	}
 }
 
--- a/core/peers.go
+++ b/core/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/wire"
 )
 
 const linkLost = 1500 * time.Millisecond // a peer not heard of for this long is not reached
@@ -46,15 +47,21 @@
 // has not loaded yet does so too: in an outage, the ones left need a majority's word for it.
 func (c *Core) tellHealth() {
 	if c.now >= c.healthAt {
-		c.healthAt = c.now + 500*time.Millisecond
-		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh()}}})
+		c.healthAt = c.now + healthEvery
+		c.used += (c.spent/healthEvery.Seconds() - c.used) / 2
+		c.spent = 0
+		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.used}}})
+		c.shareBudget()
 	}
 }
 
+const healthEvery = 500 * time.Millisecond
+
 func (c *Core) tellPeers() {
 	if c.now >= c.deltaAt {
 		c.deltaAt = c.now + c.cfg.DeltaEvery
 		c.sendDeltas()
+		c.sendReports()
 	}
 	if c.now >= c.askAt {
 		c.askAt = c.now + time.Second
@@ -79,6 +86,19 @@
 	c.tell("", Msg{Deltas: d})
 }
 
+// sendReports tells the others what machines reported to this controller. Reports that say
+// nothing new, most of them in a large fleet, go as a line each.
+func (c *Core) sendReports() {
+	if len(c.reports)+len(c.heardOf) > 0 {
+		c.tell("", Msg{Reports: c.reports, Heard: c.heardOf})
+		c.reports, c.heardOf = nil, nil
+	}
+	for _, peer := range sortedKeys(c.wanted) {
+		c.tell(peer, Msg{Want: c.wanted[peer]})
+		delete(c.wanted, peer)
+	}
+}
+
 func (c *Core) keepBatch(from string, b deltaBatch) {
 	list := append(c.batches[from], b)
 	if len(list) > 64 {
@@ -156,10 +176,18 @@
 		c.ordered(*m.Ordered)
 	}
 	if m.Health != nil {
-		p.stateOK = m.Health.StateOK
+		p.stateOK, p.used = m.Health.StateOK, max(0, m.Health.Used)
 	}
-	if m.Report != nil {
-		c.observe(m.Report, false)
+	for _, r := range m.Reports {
+		if r != nil {
+			c.observe(r, false)
+		}
+	}
+	for _, h := range m.Heard {
+		c.heard(in.Peer, h)
+	}
+	if len(m.Want) > 0 {
+		c.sendWanted(in.Peer, m.Want)
 	}
 	if m.Deltas != nil {
 		if c.lead != nil {
@@ -175,12 +203,49 @@
 	if m.Push != nil && c.lead == nil {
 		c.pushed(m.Push)
 	}
+	if m.Resend && c.lead != nil {
+		c.lead.fullAt = c.now
+		c.lead.pushNow = true
+	}
 }
 
-// pushed takes the leader's array as the new copy and repeats on it what the leader had not
-// counted yet.
+// sendWanted sends a controller the reports that it lacks, unless they went out meanwhile.
+func (c *Core) sendWanted(peer string, names []string) {
+	var rs []*wire.Report
+	for _, n := range names {
+		if i, ok := c.machineIdx[n]; ok && c.machines[i].up && !c.machines[i].gone {
+			rs = append(rs, c.reportOf(c.machines[i]))
+		}
+	}
+	if len(rs) > 0 {
+		c.tell(peer, Msg{Reports: rs})
+	}
+}
+
+// pushed takes the leader's array, or the rows of it that changed, and repeats on them what the
+// leader had not counted yet.
 func (c *Core) pushed(p *Push) {
+	for _, n := range p.Gone {
+		c.markGone(c.machine(n))
+	}
+	for _, x := range p.Stop {
+		m, j := c.machine(x.Machine), c.job(x.Job)
+		if a, ok := m.asg[taskKey{j.idx, x.Task}]; ok && a.try == x.Try && c.mine(j) && !j.final() {
+			c.stopTask(m, attKey{j.idx, x.Task, x.Try}, j.rec.Spec, "made room for higher priority")
+		}
+	}
+	whole := p.After == 0
+	if !whole && (p.Token != c.copyTok || p.After != c.copyRev) {
+		// A push was lost on the way. The copy ages until the whole array comes.
+		if c.now >= c.resendAt && c.leader.mark != 0 {
+			c.resendAt = c.now + 500*time.Millisecond
+			c.tell(c.leader.Node, Msg{Resend: true})
+		}
+		return
+	}
+	c.copyTok, c.copyRev = p.Token, p.Rev
 	rows := make([]ccs.Row, 0, len(p.Rows))
+	fresh := make(map[int32]bool, len(p.Rows))
 	for _, r := range p.Rows {
 		m := c.machine(r.Machine)
 		if m.gone {
@@ -189,38 +254,44 @@
 		if m.typ == "" {
 			m.typ, m.zone, m.spot = r.Type, r.Zone, r.Spot
 		}
+		fresh[m.idx] = true
 		rows = append(rows, ccs.Row{Machine: m.idx, Avail: r.Avail, Occ: r.Occ, Keep: r.Keep, Last: r.Last, Offered: !r.Closed})
 	}
-	for _, n := range p.Gone {
-		c.markGone(c.machine(n))
+	if whole {
+		c.copy.Replace(c.now, rows)
+	} else {
+		c.copy.Update(c.now, rows)
 	}
-	for _, x := range p.Stop {
-		m, j := c.machine(x.Machine), c.job(x.Job)
-		if a, ok := m.asg[taskKey{j.idx, x.Task}]; ok && a.try == x.Try && c.mine(j) && !j.final() {
-			c.stopTask(m, attKey{j.idx, x.Task, x.Try}, j.rec.Spec, "made room for higher priority")
+	again := func(ds []DeltaMsg) {
+		for _, d := range ds {
+			if m := c.machine(d.Machine); fresh[m.idx] {
+				c.copy.Apply(ccs.Delta{Start: d.Start, Machine: m.idx, Claim: d.Claim})
+			}
 		}
 	}
-	c.copy.Replace(c.now, rows)
 	for _, from := range sortedKeys(c.batches) {
 		// A new leader seeds from reports instead.
 		c.batches[from] = slices.DeleteFunc(c.batches[from], func(b deltaBatch) bool {
 			return b.token != p.Token || b.seq <= p.Acks[from]
 		})
 		for _, b := range c.batches[from] {
-			c.reapply(b.deltas)
+			again(b.deltas)
 		}
 	}
-	c.reapply(c.deltas)
+	again(c.deltas)
 	for _, x := range c.txns { // starts that are being committed
 		for _, pr := range x.props {
 			for _, a := range pr.started {
-				c.copy.Apply(ccs.Delta{Start: true, Machine: a.machine, Claim: pr.spec.Claim})
+				if fresh[a.machine] {
+					c.copy.Apply(ccs.Delta{Start: true, Machine: a.machine, Claim: pr.spec.Claim})
+				}
 			}
 		}
 	}
 	c.room = true
 }
 
+// reapply takes the tuples of another controller on the copy.
 func (c *Core) reapply(ds []DeltaMsg) {
 	for _, d := range ds {
 		c.copy.Apply(ccs.Delta{Start: d.Start, Machine: c.machine(d.Machine).idx, Claim: d.Claim})
--- a/core/place.go
+++ b/core/place.go
@@ -28,6 +28,7 @@
 	ended   []asg
 	accept  bool
 	cancel  bool
+	routine bool // it only tells of ends
 }
 
 // commit sends a transaction and pays for it.
@@ -36,6 +37,7 @@
 	x.sent = c.now
 	c.txns[id] = x
 	c.writes -= float64(len(t.Then))
+	c.spent += float64(len(t.Then))
 	c.reads--
 	c.Stats.Commits++
 	c.emit(Commit{ID: id, Txn: t})
@@ -207,7 +209,7 @@
 
 // maxPlaced bounds the tasks of a job assigned at one time, so that its record fits a value;
 // fitValue sees to the rest.
-func (c *Core) maxPlaced() int { return max(8, (c.cfg.ValueBytes-2048)/36) }
+func (c *Core) maxPlaced() int { return max(8, (c.cfg.ValueBytes-1024)/12) }
 
 // place evaluates the jobs that changed and commits what follows.
 func (c *Core) place() {
@@ -219,6 +221,7 @@
 	}
 	if c.room && c.now >= c.placeAt {
 		c.room = false
+		c.noRoom = c.noRoom[:0]
 		c.placeAt = c.now + 200*time.Millisecond
 		for _, j := range c.open {
 			if j.pending && c.mine(j) {
@@ -234,7 +237,7 @@
 		if len(j.cancels) > 0 && !j.inflight && c.now >= j.cancelBy {
 			c.failCancels(j, "too busy")
 		}
-		if !j.dirty || j.inflight || j.resync {
+		if !j.dirty || j.inflight || j.resync || c.now < j.lookAt {
 			continue
 		}
 		if j.mark != 0 && j.accept != nil {
@@ -246,9 +249,17 @@
 		}
 		todo = append(todo, j)
 	}
-	if c.now < c.holdUntil || inflight >= 3 || !c.leaseOK() || len(todo) == 0 {
+	if c.now < c.holdUntil || inflight >= 3 || !c.leaseOK() || len(todo) == 0 || c.reads < 1 {
 		return
 	}
+	// Ends of tasks share writes: the more jobs run, the longer they wait for others.
+	running := 0
+	for _, j := range c.open {
+		if len(j.place) > 0 && j.rec.Spec != nil && !j.rec.Spec.Service && c.mine(j) {
+			running++
+		}
+	}
+	c.settle = min(maxSettle, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.writeRate)*float64(time.Second))))
 	slices.SortStableFunc(todo, func(a, b *job) int {
 		if d := c.urgency(a) - c.urgency(b); d != 0 {
 			return d
@@ -264,6 +275,8 @@
 	b.flush()
 }
 
+const maxSettle = 2 * time.Second // users may wait 3 s for the news that a job is done
+
 // urgency orders writes: cancellations, then acceptances, then placements, then completions.
 func (c *Core) urgency(j *job) int {
 	switch {
@@ -320,11 +333,15 @@
 	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.writes < cost {
 		return false
 	}
-	p, wait := c.propose(j, b)
+	p, again := c.propose(j, b)
 	if p == nil {
-		if !wait {
-			j.dirty = false
-		}
+		j.dirty = again != 0
+		j.lookAt = again
+		return true
+	}
+	// What nobody waits for leaves a part of the budget to what somebody does.
+	if p.routine && c.writes < cost+c.writeRate*0.3 {
+		j.lookAt = c.now + 100*time.Millisecond
 		return true
 	}
 	raw, err := c.fitValue(p)
@@ -368,7 +385,7 @@
 func (c *Core) fitValue(p *proposal) (json.RawMessage, error) {
 	for {
 		raw, err := c.encode(p.rec, p.place)
-		if err != nil || len(raw) <= c.cfg.ValueBytes*7/8 || len(p.started) == 0 {
+		if err != nil || len(p.started) == 0 || len(raw) <= c.cfg.ValueBytes*7/8 && len(raw)+c.growth(p.rec, p.place) <= c.cfg.ValueBytes {
 			return raw, err
 		}
 		n := (len(p.started) + 3) / 4
@@ -406,27 +423,27 @@
 	return nil
 }
 
-// propose works out a job's next record from what is known; nil if nothing changes. wait
-// asks to look again soon.
-func (c *Core) propose(j *job, b *builder) (p *proposal, wait bool) {
+// propose works out a job's next record from what is known; nil if nothing changes.
+// again, if set, is when to look again although nothing new was heard.
+func (c *Core) propose(j *job, b *builder) (p *proposal, again time.Duration) {
 	if j.mark == 0 {
 		s := c.pickShard()
 		if s < 0 {
 			c.settleAccept(j, 503, "no shard held yet")
-			return nil, false
+			return nil, 0
 		}
 		spec := j.accept.spec
 		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true}
 		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.now < j.accept.until-1200*time.Millisecond {
-			return nil, true
+			return nil, c.now + lockedAgain
 		}
 		c.assign(p, b)
-		return p, false
+		return p, 0
 	}
 	if j.rec == nil || j.rec.Spec == nil {
 		c.settleCancels(j)
-		return nil, false
+		return nil, 0
 	}
 	rec := *j.rec
 	rec.Why = slices.Clone(j.rec.Why)
@@ -438,10 +455,10 @@
 	}
 	if !c.mine(j) {
 		if !p.cancel {
-			return nil, false
+			return nil, 0
 		}
 		p.place = j.place
-		return p, false
+		return p, 0
 	}
 	changed := p.cancel
 	quick := p.cancel
@@ -479,9 +496,7 @@
 		changed, quick = true, true
 	case rec.Stage == stQueued:
 		before := len(p.place)
-		if c.assign(p, b) {
-			wait = true
-		}
+		again = c.assign(p, b)
 		if len(p.place) > before {
 			changed, quick = true, true
 			j.placedMS = c.unixMS()
@@ -490,13 +505,17 @@
 		}
 	}
 	if !changed {
-		return nil, wait
+		return nil, again
 	}
 	// Completions alone may wait a little, to share a write.
-	if !quick && c.now-j.since < c.cfg.Settle && !(len(b.props) > 0 && c.writes > c.cfg.WriteRPS/2) {
-		return nil, true
+	if due := j.since + c.settle; !quick && c.now < due {
+		if again == 0 {
+			again = due
+		}
+		return nil, min(again, due)
 	}
-	return p, false
+	p.routine = !quick
+	return p, 0
 }
 
 // blame draws conclusions from a task's failure.
@@ -537,20 +556,36 @@
 		fits(mt.Room(), s.Claim)
 }
 
+// noRoom is a claim for which no machine had room.
+type noRoom struct {
+	claim ccs.Vec
+	spot  bool
+}
+
+// full reports whether a claim can find no room, as a smaller one found none since some became
+// free. Without it, all waiting jobs of a full fleet look at all its machines, several times a second.
+func (c *Core) full(s *wire.Spec) bool {
+	return slices.ContainsFunc(c.noRoom, func(x noRoom) bool {
+		return x.spot == s.Spot && ccs.Vec(s.Claim).Fits(x.claim)
+	})
+}
+
+const lockedAgain = 20 * time.Millisecond // until a team's state is looked at again
+
 // assign chooses machines for a job's waiting tasks by the design: 2t candidates from the
-// copy, most room first, the rest at random. It reports whether another look is due soon.
-func (c *Core) assign(p *proposal, b *builder) (again bool) {
+// copy, most room first, the rest at random. It tells when another look is due, if set.
+func (c *Core) assign(p *proposal, b *builder) (again time.Duration) {
 	s := p.rec.Spec
 	if c.catalog == nil || !c.leaseOK() {
-		return false
+		return 0
 	}
 	if c.now < p.j.backoff {
-		return true
+		return p.j.backoff
 	}
 	limit := min(c.maxPlaced()-len(p.place), s.Tasks)
 	if t := c.teamOf(s); t != nil && t.limited() {
 		if t.locked {
-			return true
+			return c.now + lockedAgain
 		}
 		u := b.add[t]
 		if t.CPUMax > 0 && s.Claim[0] > 0 {
@@ -560,12 +595,12 @@
 			limit = min(limit, int((t.GPUMax-t.gpu-u[1])/s.Claim[1]))
 		}
 	}
-	if limit <= 0 {
-		return false
+	if limit <= 0 || c.full(s) {
+		return 0
 	}
 	tasks := waiting(p.rec, p.place, limit)
 	if len(tasks) == 0 {
-		return false
+		return 0
 	}
 	zones := map[string]int{}
 	for _, a := range p.place {
@@ -609,6 +644,9 @@
 		return t
 	}
 	cands := c.copy.Candidates(c.now, ask, c.rng)
+	if len(cands) == 0 && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
+		c.noRoom = append(c.noRoom, noRoom{s.Claim, s.Spot})
+	}
 	cap := (s.Tasks + 1) / 2
 	untried := map[int32]bool{} // machines that seem full get one try each
 	for len(tasks) > 0 && len(cands) > 0 {
@@ -647,13 +685,22 @@
 			break
 		}
 	}
-	return false
+	return 0
 }
 
 const forever = time.Hour
 
-// horizon is how long a machine's tasks are expected to keep it; services keep it forever.
+// horizon is how long a machine's tasks are expected to keep it; services keep it forever. It
+// is worked out again when the tasks change, and once a second.
 func (c *Core) horizon(m *machine) time.Duration {
+	if m.stayAt != 0 && m.stayAt > m.changed && c.now-m.stayAt < time.Second {
+		return max(0, m.stay)
+	}
+	m.stay, m.stayAt = c.stay(m), c.now
+	return m.stay
+}
+
+func (c *Core) stay(m *machine) time.Duration {
 	var h time.Duration
 	for k, a := range m.asg {
 		s := c.jobs[k.job].rec.Spec
--- a/core/record.go
+++ b/core/record.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"dewlift/wire"
 )
@@ -28,12 +32,34 @@
 	Why      []reason   `json:"w,omitempty"`
 }
 
-// placed lists the tasks assigned to a session of a machine: task, attempt, task, attempt...
+// placed lists the tasks assigned to machines of one zone that are in the same session. Jobs
+// of hundreds of tasks fit a value because neighbours share what they have in common: the
+// beginning of the machines' names, and runs of tasks with consecutive numbers and attempts.
 type placed struct {
-	Machine string   `json:"m"`
 	Zone    string   `json:"z"` // a new owner must know it before it has heard of the machine
 	Session uint64   `json:"s"`
-	Tasks   []uint64 `json:"t"`
+	Prefix  string   `json:"p"` // of the machines' names
+	Names   []string `json:"m"` // the rest of them
+	Runs    []int    `json:"n"` // how many runs each machine has
+	Tasks   []uint64 `json:"r"` // of each run: first task, its attempt, number of tasks
+}
+
+// each calls f for every run; false if the lists do not fit together.
+func (p *placed) each(f func(machine string, task, try, n uint64)) bool {
+	at := 0
+	if len(p.Names) != len(p.Runs) {
+		return false
+	}
+	for i, name := range p.Names {
+		for k := 0; k < p.Runs[i]; k++ {
+			if at+3 > len(p.Tasks) || p.Tasks[at] >= wire.MaxTasks || p.Tasks[at+2] > wire.MaxTasks-p.Tasks[at] {
+				return false
+			}
+			f(p.Prefix+name, p.Tasks[at], p.Tasks[at+1], p.Tasks[at+2])
+			at += 3
+		}
+	}
+	return at == len(p.Tasks)
 }
 
 type reason struct {
@@ -130,7 +156,7 @@
 		return nil, fmt.Errorf("job record: bad done set")
 	}
 	for _, p := range r.Place {
-		if len(p.Tasks)%2 != 0 {
+		if !p.each(func(string, uint64, uint64, uint64) {}) {
 			return nil, fmt.Errorf("job record: bad assignments")
 		}
 	}
@@ -143,24 +169,30 @@
 	out.Place = nil
 	sorted := slices.Clone(place)
 	slices.SortFunc(sorted, func(a, b asg) int {
-		if a.machine != b.machine {
-			return int(a.machine - b.machine)
-		}
-		if a.session != b.session {
-			if a.session < b.session {
-				return -1
-			}
-			return 1
-		}
-		return int(a.task - b.task)
+		return cmp.Or(cmp.Compare(c.machines[a.machine].zone, c.machines[b.machine].zone), cmp.Compare(a.session, b.session),
+			cmp.Compare(a.machine, b.machine), cmp.Compare(a.task, b.task))
 	})
-	for _, a := range sorted {
-		name := c.machines[a.machine].name
-		if n := len(out.Place); n == 0 || out.Place[n-1].Machine != name || out.Place[n-1].Session != a.session {
-			out.Place = append(out.Place, placed{Machine: name, Zone: c.machines[a.machine].zone, Session: a.session})
+	for i, a := range sorted {
+		zone := c.machines[a.machine].zone
+		if n := len(out.Place); n == 0 || out.Place[n-1].Zone != zone || out.Place[n-1].Session != a.session {
+			out.Place = append(out.Place, placed{Zone: zone, Session: a.session})
 		}
 		p := &out.Place[len(out.Place)-1]
-		p.Tasks = append(p.Tasks, uint64(a.task), a.try)
+		same := len(p.Names) > 0 && sorted[i-1].machine == a.machine
+		if !same {
+			p.Names = append(p.Names, c.machines[a.machine].name)
+			p.Runs = append(p.Runs, 0)
+		}
+		last := len(p.Tasks) - 3
+		if same && p.Tasks[last]+p.Tasks[last+2] == uint64(a.task) && p.Tasks[last+1]+p.Tasks[last+2] == a.try {
+			p.Tasks[last+2]++
+			continue
+		}
+		p.Runs[len(p.Runs)-1]++
+		p.Tasks = append(p.Tasks, uint64(a.task), a.try, 1)
+	}
+	for i := range out.Place {
+		out.Place[i].cutPrefix()
 	}
 	raw, err := json.Marshal(&out)
 	if err != nil {
@@ -169,17 +201,46 @@
 	return raw, nil
 }
 
+// cutPrefix takes what all names begin with out of them.
+func (p *placed) cutPrefix() {
+	n := len(p.Names[0])
+	for _, name := range p.Names {
+		for !strings.HasPrefix(name, p.Names[0][:n]) {
+			n--
+		}
+	}
+	for n > 0 && !utf8.RuneStart((p.Names[0] + "x")[n]) {
+		n--
+	}
+	p.Prefix = p.Names[0][:n]
+	for i := range p.Names {
+		p.Names[i] = p.Names[i][n:]
+	}
+}
+
+// growth is by how much a record with these assignments can grow while they end one by one:
+// at worst every other task of a run ends first, which leaves a run and a done range for each.
+func (c *Core) growth(r *record, place []asg) int {
+	if r.Spec == nil || r.Spec.Service {
+		return 0
+	}
+	return len(place) * (2*len(strconv.FormatUint(max(r.Tries, uint64(r.Spec.Tasks)), 10)) + 3)
+}
+
 // unpack lists a record's assignments.
 func (c *Core) unpack(r *record) []asg {
 	var out []asg
-	for _, p := range r.Place {
-		m := c.machine(p.Machine)
-		if m.zone == "" {
-			m.zone = p.Zone
-		}
-		for i := 0; i+1 < len(p.Tasks); i += 2 {
-			out = append(out, asg{int32(p.Tasks[i]), m.idx, p.Session, p.Tasks[i+1]})
-		}
+	for i := range r.Place {
+		p := &r.Place[i]
+		p.each(func(name string, task, try, n uint64) {
+			m := c.machine(name)
+			if m.zone == "" {
+				m.zone = p.Zone
+			}
+			for k := range n {
+				out = append(out, asg{int32(task + k), m.idx, p.Session, try + k})
+			}
+		})
 	}
 	return out
 }
--- a/core/types.go
+++ b/core/types.go
@@ -21,8 +21,9 @@
 	WatchGap time.Duration
 	ReadGap  time.Duration // between read barriers
 
-	StateRPS   float64 // this controller's share
+	StateRPS   float64 // of all controllers together
 	WriteRPS   float64
+	WriteShare float64 // the most of it that one controller uses
 	ValueBytes int
 	TxnOps     int
 	CloudRPS   float64
@@ -132,6 +133,7 @@
 		Status   int
 		Catalog  *wire.Catalog
 		Machines []wire.Machine
+		More     bool // the list goes on
 		Names    []string
 		Error    string
 	}
@@ -203,6 +205,7 @@
 		Op    string
 		Rent  wire.RentRequest
 		Names []string
+		From  string // of a list: it begins after this machine
 	}
 	// ToPeer is a message to another controller; an empty name means all.
 	ToPeer struct {
@@ -230,21 +233,35 @@
 
 // Msg is a message between controllers. Exactly the fields that are set count.
 type Msg struct {
-	To      string       `json:"to,omitempty"` // to be passed on to this controller
-	From    string       `json:"fr,omitempty"` // the sender of a message passed on
-	Orders  *Orders      `json:"o,omitempty"`  // to be sent to a worker that the sender does not reach
-	Ordered *Ordered     `json:"od,omitempty"` // what came of it
-	Health  *Health      `json:"h,omitempty"`
-	Report  *wire.Report `json:"r,omitempty"`
-	Deltas  *Deltas      `json:"d,omitempty"`
-	Push    *Push        `json:"p,omitempty"`
-	Return  []string     `json:"s,omitempty"` // machines that the leader must return
-	Silent  []string     `json:"q,omitempty"` // machines that the sender does not hear of
+	To      string         `json:"to,omitempty"` // to be passed on to this controller
+	From    string         `json:"fr,omitempty"` // the sender of a message passed on
+	Orders  *Orders        `json:"o,omitempty"`  // to be sent to a worker that the sender does not reach
+	Ordered *Ordered       `json:"od,omitempty"` // what came of it
+	Health  *Health        `json:"h,omitempty"`
+	Reports []*wire.Report `json:"r,omitempty"` // of machines on which something changed
+	Heard   []Heard        `json:"e,omitempty"` // of machines on which nothing did
+	Want    []string       `json:"w,omitempty"` // machines whose reports the sender lacks
+	Deltas  *Deltas        `json:"d,omitempty"`
+	Push    *Push          `json:"p,omitempty"`
+	Resend  bool           `json:"a,omitempty"` // the sender missed a push
+	Return  []string       `json:"s,omitempty"` // machines that the leader must return
+	Silent  []string       `json:"q,omitempty"` // machines that the sender does not hear of
+}
+
+// Heard is a report that says nothing new. The digest shows whether its receiver knows what the
+// machine reported before; if not, it asks for the whole report.
+type Heard struct {
+	Machine string `json:"m"`
+	Session uint64 `json:"s"`
+	Seq     uint64 `json:"q"`
+	Token   uint64 `json:"b"`
+	Digest  uint64 `json:"d"`
 }
 
 // Health tells how a controller stands.
 type Health struct {
-	StateOK bool `json:"ok"` // it reached the state service of late
+	StateOK bool    `json:"ok"` // it reached the state service of late
+	Used    float64 `json:"u"`  // changes of the state service a second that it made of late
 }
 
 // Deltas is a batch of start and finish tuples.
@@ -260,9 +277,12 @@
 	Claim   ccs.Vec `json:"c"`
 }
 
-// Push is the leader's array.
+// Push is the leader's array: all of it from time to time, and in between the rows that
+// changed since the push before.
 type Push struct {
-	Rows  []PushRow         `json:"rows"`
+	After uint64            `json:"after,omitempty"` // revision that the rows lead on from; 0: these are all rows
+	Rev   uint64            `json:"rev"`             // revision that they lead to
+	Rows  []PushRow         `json:"rows,omitempty"`
 	Stop  []StopMsg         `json:"stop,omitempty"` // tasks that must make room
 	Gone  []string          `json:"gone,omitempty"` // machines that are gone for certain
 	Acks  map[string]uint64 `json:"acks,omitempty"` // last batch counted of each controller
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -17,6 +17,8 @@
 	jobs     map[string]*truth
 	on       map[string]map[string]bool // task -> machines it is on
 	machines map[string]wire.Machine
+	use      map[string][2]int64 // room that a team's tasks take
+	ending   []*truth            // cancelled jobs that may have tasks left
 	Starts   int
 }
 
@@ -25,17 +27,19 @@
 	spec      wire.Spec
 	submitted bool
 	accepted  bool
-	stage     string        // "done" or "cancelled" once told
-	asked     bool          // its user asked to cancel
-	final     time.Duration // when its end was told first
-	told      time.Duration // when the cancellation was told
-	done      map[int]bool  // tasks completed on a worker
+	stage     string         // "done" or "cancelled" once told
+	asked     bool           // its user asked to cancel
+	final     time.Duration  // when its end was told first
+	told      time.Duration  // when the cancellation was told
+	done      map[int]bool   // tasks completed on a worker
+	zones     map[string]int // tasks on machines by zone
+	on        int            // tasks on machines
 }
 
 // NewChecker returns a checker.
 func NewChecker(cancelIn time.Duration, limit map[string][2]int64) *Checker {
 	return &Checker{cancelIn: cancelIn, limit: limit, jobs: map[string]*truth{}, on: map[string]map[string]bool{},
-		machines: map[string]wire.Machine{}}
+		machines: map[string]wire.Machine{}, use: map[string][2]int64{}}
 }
 
 func (k *Checker) broken(rule, format string, args ...any) {
@@ -45,7 +49,7 @@
 // Submitted notes a job that a user submits.
 func (k *Checker) Submitted(s wire.Spec) {
 	if k.jobs[s.ID] == nil {
-		k.jobs[s.ID] = &truth{spec: s, submitted: true, done: map[int]bool{}}
+		k.jobs[s.ID] = &truth{spec: s, submitted: true, done: map[int]bool{}, zones: map[string]int{}}
 	}
 }
 
@@ -82,6 +86,7 @@
 			}
 			if j.stage == "" {
 				j.told, j.final = now, now
+				k.ending = append(k.ending, j)
 			}
 			j.stage = stage
 		}
@@ -112,9 +117,12 @@
 	if k.on[name] == nil {
 		k.on[name] = map[string]bool{}
 	}
-	k.on[name][m.Name] = true
-	k.machines[m.Name] = m
 	s := &j.spec
+	k.machines[m.Name] = m
+	if !k.on[name][m.Name] {
+		k.on[name][m.Name] = true
+		k.count(j, m.Zone, 1)
+	}
 	ok := s.Types == nil
 	for _, t := range s.Types {
 		ok = ok || t == m.Type
@@ -122,40 +130,41 @@
 	if !ok || s.Zone != "" && s.Zone != m.Zone || m.Spot && !s.Spot {
 		k.broken("wrong_place", "%s on %s (%s, %s, spot %v)", name, m.Name, m.Type, m.Zone, m.Spot)
 	}
-	zones := map[string]int{}
-	for t := 0; t < s.Tasks; t++ {
-		for mm := range k.on[wire.TaskName(id, t)] {
-			zones[k.machines[mm].Zone]++
-		}
+	if s.OneZone && len(j.zones) > 1 {
+		k.broken("wrong_place", "%s on %s: its job is in zones %v: %v", name, m.Name, j.zones, k.on)
 	}
-	if s.OneZone && len(zones) > 1 {
-		k.broken("wrong_place", "%s on %s: its job is in zones %v: %v", name, m.Name, zones, k.on)
+	if s.Spread && j.zones[m.Zone] > (s.Tasks+1)/2 {
+		k.broken("wrong_place", "%s: %d of %d tasks in zone %s", name, j.zones[m.Zone], s.Tasks, m.Zone)
 	}
-	if s.Spread && zones[m.Zone] > (s.Tasks+1)/2 {
-		k.broken("wrong_place", "%s: %d of %d tasks in zone %s", name, zones[m.Zone], s.Tasks, m.Zone)
-	}
-	if lim, ok := k.limit[s.Team]; ok {
-		var use [2]int64
-		for n, ms := range k.on {
-			o, _, _ := wire.SplitTask(n)
-			if oj := k.jobs[o]; oj != nil && oj.spec.Team == s.Team {
-				for i := range use {
-					use[i] += int64(len(ms)) * oj.spec.Claim[i]
-				}
-			}
-		}
-		for i := range use {
-			if lim[i] > 0 && use[i] > lim[i] {
-				k.broken("quota", "team %s uses %d of %d", s.Team, use[i], lim[i])
-			}
+	lim, use := k.limit[s.Team], k.use[s.Team]
+	for i := range use {
+		if lim[i] > 0 && use[i] > lim[i] {
+			k.broken("quota", "team %s uses %d of %d", s.Team, use[i], lim[i])
 		}
 	}
 	k.Tick(now)
 }
 
+// count adds a task on a machine, or takes one away.
+func (k *Checker) count(j *truth, zone string, n int) {
+	if j.zones[zone] += n; j.zones[zone] == 0 {
+		delete(j.zones, zone)
+	}
+	j.on += n
+	u := k.use[j.spec.Team]
+	for i := range u {
+		u[i] += int64(n) * j.spec.Claim[i]
+	}
+	k.use[j.spec.Team] = u
+}
+
 // Off notes that a task left a machine.
 func (k *Checker) Off(id string, task int, machine string) {
 	n := wire.TaskName(id, task)
+	if !k.on[n][machine] {
+		return
+	}
+	k.count(k.jobs[id], k.machines[machine].Zone, -1)
 	delete(k.on[n], machine)
 	if len(k.on[n]) == 0 {
 		delete(k.on, n)
@@ -171,11 +180,9 @@
 
 // Tick checks what must be over by now.
 func (k *Checker) Tick(now time.Duration) {
-	for n, ms := range k.on {
-		id, _, _ := wire.SplitTask(n)
-		j := k.jobs[id]
-		if j != nil && j.stage == wire.StageCancelled && now-j.told > k.cancelIn && len(ms) > 0 {
-			k.broken("ran_cancelled", "%s is on a machine %v after its cancellation", n, now-j.told)
+	for _, j := range k.ending {
+		if now-j.told > k.cancelIn && j.on > 0 {
+			k.broken("ran_cancelled", "tasks of %s are on machines %v after its cancellation", j.spec.ID, now-j.told)
 			j.told = now // once is enough
 		}
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// Five controllers, and jobs and machines enough to cross the limits of a value and of a
+// transaction, in troubles.
+func TestRulesHoldInLargeWorlds(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			w := play(t, Options{Seed: seed, Length: 120 * time.Second, Jobs: 60, Nodes: 5, Fleet: 300, Tasks: 400})
+			t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+		})
+	}
+}
+
 // The same seed must give the same run, or a failing seed could not be looked into.
 func TestWorldRepeats(t *testing.T) {
 	run := func() string {
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -245,25 +245,21 @@
 type cloudStandIn struct {
 	w        *World
 	machines []*workerStandIn
+	byName   map[string]*workerStandIn
 	hires    map[string][]string
 	down     bool
 }
 
-func newCloud(w *World) *cloudStandIn { return &cloudStandIn{w: w, hires: map[string][]string{}} }
+func newCloud(w *World) *cloudStandIn {
+	return &cloudStandIn{w: w, byName: map[string]*workerStandIn{}, hires: map[string][]string{}}
+}
 
 var catalog = wire.Catalog{Types: []wire.MachineType{
 	{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchRate: 1, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: zones},
 	{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchRate: 1, Price: 0.3, SpotPrice: 0.1, BootS: 5, Zones: zones},
 }}
 
-func (c *cloudStandIn) find(name string) *workerStandIn {
-	for _, m := range c.machines {
-		if m.m.Name == name {
-			return m
-		}
-	}
-	return nil
-}
+func (c *cloudStandIn) find(name string) *workerStandIn { return c.byName[name] }
 
 func (c *cloudStandIn) random() *workerStandIn {
 	var live []*workerStandIn
@@ -299,7 +295,7 @@
 				live++
 			}
 		}
-		n := min(o.Rent.Count, max(0, 14-live))
+		n := min(o.Rent.Count, max(0, c.w.opt.Fleet-live))
 		if n == 0 || !c.w.opt.Quiet && c.w.chance(0.2) {
 			out.Status, out.Error = 503, "no capacity"
 			return out
@@ -309,6 +305,7 @@
 			m := &workerStandIn{w: c.w, m: wire.Machine{Name: name, Addr: "x:" + name, Type: o.Rent.Type, Zone: o.Rent.Zone,
 				Spot: o.Rent.Spot, Stage: wire.MachineBooting}, born: c.w.now, tasks: map[string]*workerTask{}, images: map[string]bool{}}
 			c.machines = append(c.machines, m)
+			c.byName[name] = m
 			out.Names = append(out.Names, name)
 			if c.w.opt.Quiet || !c.w.chance(0.05) {
 				c.w.after(c.w.between(2*time.Second, 12*time.Second), m.start)
@@ -326,7 +323,11 @@
 		}
 	case "list":
 		for _, m := range c.machines {
-			if (!m.gone || m.failed || c.w.now-m.ended < 5*time.Second) && c.w.now-m.born > 3*time.Second && !m.deleted {
+			if m.m.Name > o.From && (!m.gone || m.failed || c.w.now-m.ended < 5*time.Second) && c.w.now-m.born > 3*time.Second && !m.deleted {
+				if len(out.Machines) == listPage {
+					out.More = true
+					break
+				}
 				e := m.m
 				e.AgeS = (c.w.now - m.born).Seconds()
 				if m.failed {
@@ -339,6 +340,8 @@
 	return out
 }
 
+const listPage = 20
+
 type workerTask struct {
 	job   string
 	task  int
@@ -376,7 +379,7 @@
 	}
 	m.up, m.session, m.answered = true, 1, m.w.now
 	m.m.Stage = wire.MachineRunning
-	m.at = m.w.rng.IntN(3)
+	m.at = m.w.rng.IntN(len(m.w.nodes))
 	m.loop()
 	m.leaseLoop()
 }
@@ -495,7 +498,7 @@
 		m.inFlight = false
 		b, isBeat := rep.Body.(wire.BeatReply)
 		if !ok || rep.Status != 200 || !isBeat {
-			m.at = (m.at + 1) % 3
+			m.at = (m.at + 1) % len(m.w.nodes)
 			m.w.after(time.Second, m.beat)
 			return
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +18,9 @@
 	Jobs     int
 	Quiet    bool // no failures
 	CloudBad bool // the cloud fails more often than not
+	Nodes    int  // controllers; 0: 3
+	Fleet    int  // the most machines there are; 0: 14
+	Tasks    int  // the most tasks of a job; 0: 9
 }
 
 type event struct {
@@ -79,13 +83,15 @@
 
 // New makes a world.
 func New(opt Options) *World {
+	opt.Nodes, opt.Fleet, opt.Tasks = cmp.Or(opt.Nodes, 3), cmp.Or(opt.Fleet, 14), cmp.Or(opt.Tasks, 9)
 	w := &World{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 77)), cut: map[[2]string]bool{}, held: map[[2]string][]func(){},
 		Trace: func(string, ...any) {}}
-	w.teams = []core.Team{{Name: "t0"}, {Name: "t1", CPU: 16000, CPUMax: 40000}}
-	w.Check = NewChecker(cancelIn, map[string][2]int64{"t1": {40000, 0}})
+	limit := 40000 * int64(opt.Tasks) / 9
+	w.teams = []core.Team{{Name: "t0"}, {Name: "t1", CPU: limit * 2 / 5, CPUMax: limit}}
+	w.Check = NewChecker(cancelIn, map[string][2]int64{"t1": {limit, 0}})
 	w.state = newState(w)
 	w.cloud = newCloud(w)
-	for i := 0; i < 3; i++ {
+	for i := 0; i < opt.Nodes; i++ {
 		n := &node{name: fmt.Sprintf("n%d", i), slip: time.Duration(w.rng.IntN(5000)) * time.Millisecond}
 		w.nodes = append(w.nodes, n)
 	}
@@ -129,7 +135,7 @@
 
 func (w *World) config(n *node) core.Config {
 	cfg := core.Config{Name: n.name, Zone: "a", Teams: w.teams, Lease: 4 * time.Second, Shards: 6,
-		WatchGap: 100 * time.Millisecond, ReadGap: 150 * time.Millisecond, StateRPS: 100, WriteRPS: 40, ValueBytes: 8192,
+		WatchGap: 100 * time.Millisecond, ReadGap: 150 * time.Millisecond, StateRPS: 100, WriteRPS: 40, WriteShare: 0.6, ValueBytes: 8192,
 		TxnOps: 12, CloudRPS: 4, ListLag: 3 * time.Second, ReportEvery: reportEvery, WorkerLease: workerLease,
 		CancelIn: cancelIn, DeltaEvery: 500 * time.Millisecond, PushEvery: time.Second, CopyExpire: 10 * time.Second,
 		ProbeRatio: 2, PreferImage: true, PreferSpot: true, SpareShare: 0.2, Idle: 5 * time.Second, Silent: 8 * time.Second,
@@ -464,7 +470,7 @@
 func (w *World) users() {
 	for i := 0; i < w.opt.Jobs; i++ {
 		s := wire.Spec{ID: fmt.Sprintf("wk-%06d", w.rng.IntN(1_000_000)), Class: "c", Team: w.teams[w.rng.IntN(2)].Name,
-			Service: w.chance(0.3), Priority: w.rng.IntN(4), Tasks: 1 + w.rng.IntN(9), Claim: [3]int64{1000 * int64(1+w.rng.IntN(4)), 0, 2000},
+			Service: w.chance(0.3), Priority: w.rng.IntN(4), Tasks: 1 + w.rng.IntN(w.opt.Tasks), Claim: [3]int64{1000 * int64(1+w.rng.IntN(4)), 0, 2000},
 			Image: fmt.Sprintf("i%d", w.rng.IntN(3)), OneZone: w.chance(0.2), Spot: w.chance(0.5), EstimateMS: 10000}
 		s.Spread = !s.OneZone && w.chance(0.4)
 		if w.chance(0.2) {
@@ -481,7 +487,7 @@
 	stranger = func() { // asks about jobs that nobody submitted
 		id := fmt.Sprintf("wk-x%05d", w.rng.IntN(100000))
 		began := w.now
-		w.ask(w.nodes[w.rng.IntN(3)], 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: id} },
+		w.ask(w.nodes[w.rng.IntN(len(w.nodes))], 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: id} },
 			func(r core.Reply, ok bool) { w.answered(began, "poll", id, r, ok) })
 		w.after(5*time.Second, stranger)
 	}
@@ -502,7 +508,7 @@
 		return
 	}
 	w.Check.Submitted(s)
-	pick := func() *node { return w.nodes[w.rng.IntN(3)] }
+	pick := func() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
 	unix := func() int64 { return startMS + w.now.Milliseconds() }
 	over := false
 	var submit, poll, cancel func()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,14 +40,14 @@
 type link struct {
 	name  string
 	addr  string
-	queue chan core.Msg
+	queue chan []byte
 }
 
 // New returns a mesh that knows its peers by name and address.
 func New(name string, peers map[string]string, log *slog.Logger) *Mesh {
 	m := &Mesh{name: name, peers: map[string]*link{}, log: log}
 	for n, a := range peers {
-		m.peers[n] = &link{name: n, addr: a, queue: make(chan core.Msg, queueLen)}
+		m.peers[n] = &link{name: n, addr: a, queue: make(chan []byte, queueLen)}
 	}
 	return m
 }
@@ -55,10 +55,16 @@
 // Send queues a message to a peer, or to all if the name is empty. When a peer's queue is
 // full the message is dropped.
 func (m *Mesh) Send(peer string, msg core.Msg) {
+	line, err := json.Marshal(msg) // once for all: the array of a large fleet is long
+	if err != nil {
+		m.log.Error("mesh message not encoded", "err", err)
+		return
+	}
+	line = append(line, '\n')
 	for n, l := range m.peers {
 		if peer == "" || peer == n {
 			select {
-			case l.queue <- msg:
+			case l.queue <- line:
 			default:
 			}
 		}
@@ -189,14 +195,13 @@
 	}()
 	go func() {
 		w := bufio.NewWriterSize(pw, 32<<10)
-		enc := json.NewEncoder(w)
 		for {
 			select {
 			case <-ctx.Done():
 				_ = pr.CloseWithError(ctx.Err())
 				return
-			case msg := <-l.queue:
-				err := enc.Encode(msg)
+			case line := <-l.queue:
+				_, err := w.Write(line)
 				if err == nil && len(l.queue) == 0 {
 					err = w.Flush()
 				}
