--- a/core/lead.go
+++ b/core/lead.go
@@ -444,7 +444,7 @@
 		}
 		if m.up {
 			up++
-			if c.now-m.heard > c.cfg.Silent*4/5 {
+			if c.now-m.heard > c.silent()*4/5 {
 				silent++
 			}
 		}
@@ -467,7 +467,7 @@
 			}
 		case m.noticed > 0 && c.now > m.noticed-1500*time.Millisecond:
 			c.mustReturn(m, "its notice runs out")
-		case quiet > c.cfg.Silent && (!deaf || quiet > c.cfg.WorkerLease+10*time.Second) && c.now-l.since > c.cfg.Silent:
+		case quiet > c.silent() && (!deaf || quiet > c.cfg.WorkerLease+10*time.Second) && c.now-l.since > c.silent():
 			c.mustReturn(m, "silent")
 		case m.faulty():
 			c.mustReturn(m, "faulty")
@@ -477,10 +477,18 @@
 	}
 }
 
+// reportDue is how long a machine that is well stays quiet at most.
+func (c *Core) reportDue() time.Duration { return c.cfg.ReportEvery*5/4 + 300*time.Millisecond }
+
+// silent is how long a machine is quiet before it is given up. It follows from how often
+// workers report: a fixed time was shorter than the pauses of machines that report every 6 s,
+// and healthy ones were returned.
+func (c *Core) silent() time.Duration { return c.reportDue() + c.cfg.Silent }
+
 // probe asks a machine for its report when none has come, directly or from others: while the
 // controllers can't reach each other, it is the only news of tasks that report elsewhere.
 func (c *Core) probe(m *machine) {
-	if c.now-m.heard > c.cfg.ReportEvery*5/4+300*time.Millisecond && c.now-m.shown > time.Second && m.up {
+	if c.now-m.heard > c.reportDue() && c.now-m.shown > time.Second && m.up {
 		m.shown = c.now
 		c.emit(Probe{Machine: m.name, Addr: m.addr})
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		c.probe(m)
-		if c.now-m.heard > c.cfg.Silent+2*time.Second {
+		if c.now-m.heard > c.silent()+2*time.Second {
 			silent = append(silent, m.name)
 		}
 	}
--- a/core/types.go
+++ b/core/types.go
@@ -47,7 +47,7 @@
 	IdleBoots    float64
 	SoonBoots    float64
 	Idle         time.Duration
-	Silent       time.Duration
+	Silent       time.Duration // after a machine's report was due at the latest
 	BootPatience float64
 	Settle       time.Duration
 }
