Spare room follows the spread of what jobs ask for within a boot time

Cause: a quarter of the running tasks was kept free whatever the size. What comes within a boot time varies by the root of its number, so a fleet thirty times as large needs about a sixth of the share for the same chance of a start at once. A share of the running tasks stays the bound for small classes, a job of the usual size the least. Setting: spare_deviations.

--- a/controller.go
+++ b/controller.go
@@ -73,7 +73,7 @@
 		DeltaEvery: ms(t.GetDeltaMs()), PushEvery: ms(t.GetPushMs()), CopyExpire: ms(t.GetExpireMs()),
 		ProbeRatio: t.GetProbeRatio(), RandomFill: t.GetRandomFill(), PreferImage: t.GetPreferImage(),
 		PreferSpot: t.GetPreferSpot(), HorizonStep: ms(t.GetHorizonMs()),
-		SpareShare: t.GetSpareShare(), SpareService: t.GetSpareService(),
+		SpareShare: t.GetSpareShare(), SpareService: t.GetSpareService(), SpareDev: t.GetSpareDeviations(),
 		Idle: ms(t.GetIdleMs()), IdleBoots: t.GetIdleBoots(), SoonBoots: t.GetSoonBoots(),
 		Silent: ms(t.GetSilentMs()), BootPatience: t.GetBootPatience(), Settle: ms(t.GetSettleMs()),
 	}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -446,3 +446,17 @@
 		t.Errorf("a machine that never reports again is not returned as silent but as %q", m.lead.why)
 	}
 }
+
+// Spare room grows with the spread of what jobs ask for, not with the size of the fleet.
+func TestSpareRoomOfALargeClass(t *testing.T) {
+	c := serving(t)
+	c.cfg.SpareShare, c.cfg.SpareDev = 0.25, 1
+	st := &classStat{tasks: 10, square: 100, gap: time.Second}
+	if n := c.spare(st, 40); n != 10 {
+		t.Errorf("a small class keeps room for %v tasks, want a job of the usual size", n)
+	}
+	// In the 3 s until room can be there, 3 jobs come: 17 tasks is one standard deviation.
+	if n := c.spare(st, 4000); n < 17 || n > 18 {
+		t.Errorf("a large class keeps room for %v tasks", n)
+	}
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -40,11 +40,12 @@
 }
 
 type classStat struct {
-	spec  wire.Spec
-	tasks float64       // mean size of its jobs
-	gap   time.Duration // mean time between them
-	last  time.Duration
-	atMS  int64 // time of day of the last one's acceptance
+	spec   wire.Spec
+	tasks  float64       // mean size of its jobs
+	square float64       // mean square of it
+	gap    time.Duration // mean time between them
+	last   time.Duration
+	atMS   int64 // time of day of the last one's acceptance
 }
 
 // lead is the state of the leader's term: the array, and the dealings with the cloud.
@@ -87,9 +88,10 @@
 	key := r.Spec.Class
 	st := c.classes[key]
 	if st == nil {
-		st = &classStat{tasks: float64(r.Spec.Tasks)}
+		st = &classStat{tasks: float64(r.Spec.Tasks), square: float64(r.Spec.Tasks) * float64(r.Spec.Tasks)}
 		c.classes[key] = st
 	}
+	st.square += (float64(r.Spec.Tasks)*float64(r.Spec.Tasks) - st.square) / 16
 	st.tasks += (float64(r.Spec.Tasks) - st.tasks) / 8
 	if at := time.Duration(r.AtMS-st.atMS) * time.Millisecond; st.atMS != 0 && at >= 0 {
 		st.gap += (at - st.gap) / 8
@@ -711,20 +713,39 @@
 	return false
 }
 
-// spare is the number of tasks of a class that room is kept for: a job of the usual size or a
-// share of those that run, less and less once jobs have stopped coming.
+// spare is the number of tasks of a class that room is kept for: a share of those that run,
+// but no more than what jobs ask for beyond the mean until a new machine is up (so many standard
+// deviations of it; a large class varies less for its size), and at least a job of the usual
+// size; less and less once jobs have stopped coming.
 func (c *Core) spare(st *classStat, running int) float64 {
 	share := c.cfg.SpareShare
 	if st.spec.Service {
 		share = c.cfg.SpareService
 	}
-	n := max(st.tasks, share*float64(running))
+	n := share * float64(running)
+	if st.gap > 0 {
+		jobs := float64(c.bootTime(&st.spec)) / float64(st.gap)
+		n = min(n, c.cfg.SpareDev*math.Sqrt(jobs*st.square))
+	}
+	n = max(st.tasks, n)
 	if quiet := c.now - st.last; st.gap > 0 && quiet > 5*st.gap && quiet > 20*time.Second {
 		n *= float64(5*st.gap) / float64(quiet)
 	}
 	return n
 }
 
+// bootTime is how long it takes from a need to the room for it: renting, and the boot of the
+// quickest type.
+func (c *Core) bootTime(s *wire.Spec) time.Duration {
+	boot := 0.0
+	for _, name := range c.types {
+		if t := c.catalog[name]; c.typeAllowed(s, name) && ccs.Vec(t.Room()).Fits(s.Claim) && (boot == 0 || t.BootS < boot) {
+			boot = t.BootS
+		}
+	}
+	return time.Duration(boot*float64(time.Second)) + 3*time.Second
+}
+
 // needs lists the tasks that wait, and the spare room for those to come.
 func (c *Core) needs() []need {
 	var out []need
--- a/core/types.go
+++ b/core/types.go
@@ -44,6 +44,7 @@
 
 	SpareShare   float64
 	SpareService float64
+	SpareDev     float64
 	IdleBoots    float64
 	SoonBoots    float64
 	Idle         time.Duration
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -151,7 +151,7 @@
 		LeaseMs: ptr(uint32(4000)), Shards: ptr(uint32(12)), WatchGapMs: ptr(uint32(150)), BarrierGapMs: ptr(uint32(200)),
 		WriteShare: ptr(0.6), DeltaMs: ptr(uint32(50)), PushMs: ptr(uint32(500)), ExpireMs: ptr(uint32(30000)),
 		ProbeRatio: ptr(2.0), RandomFill: ptr(false), PreferImage: ptr(true), PreferSpot: ptr(true), HorizonMs: ptr(uint32(10000)),
-		SpareShare: ptr(0.25), SpareService: ptr(0.2), IdleBoots: ptr(0.0), SoonBoots: ptr(1.0), IdleMs: ptr(uint32(4000)), SilentMs: ptr(uint32(2500)), BootPatience: ptr(3.0),
+		SpareShare: ptr(0.25), SpareService: ptr(0.2), SpareDeviations: ptr(1.0), IdleBoots: ptr(0.0), SoonBoots: ptr(1.0), IdleMs: ptr(uint32(4000)), SilentMs: ptr(uint32(2500)), BootPatience: ptr(3.0),
 		SettleMs: ptr(uint32(300)),
 	}
 }
@@ -189,7 +189,7 @@
 		{"write_share", t.GetWriteShare(), 0.05, 1}, {"delta_ms", float64(t.GetDeltaMs()), 20, 60000},
 		{"push_ms", float64(t.GetPushMs()), 20, 120000}, {"expire_ms", float64(t.GetExpireMs()), 100, 600000},
 		{"probe_ratio", t.GetProbeRatio(), 1, 100}, {"spare_share", t.GetSpareShare(), 0, 10},
-		{"spare_service", t.GetSpareService(), 0, 10}, {"horizon_ms", float64(t.GetHorizonMs()), 0, 3600000}, {"idle_boots", t.GetIdleBoots(), 0, 100},
+		{"spare_service", t.GetSpareService(), 0, 10}, {"spare_deviations", t.GetSpareDeviations(), 0, 100}, {"horizon_ms", float64(t.GetHorizonMs()), 0, 3600000}, {"idle_boots", t.GetIdleBoots(), 0, 100},
 		{"soon_boots", t.GetSoonBoots(), 0, 100},
 		{"idle_ms", float64(t.GetIdleMs()), 0, 3600000}, {"silent_ms", float64(t.GetSilentMs()), 500, 3600000},
 		{"boot_patience", t.GetBootPatience(), 1, 100}, {"settle_ms", float64(t.GetSettleMs()), 0, 2000},
