Rentals planned anew until sent; tuples of starts with their write; fewer writes of placements

A tenth of the starts was refused: several controllers chose the same room, and a batch that a push had counted already was counted again.

Now: rentals that were not sent are planned anew and merged; placements of waiting jobs gather where changes are few and leave some to users; an acceptance never shares a write with them; tuples of starts go out when their write is sent; a batch counted by a push is not counted again.

--- a/core/core.go
+++ b/core/core.go
@@ -137,7 +137,9 @@
 	reqs   []uint64
 	spec   wire.Spec
 	unixMS int64
+	since  time.Duration
 	until  time.Duration
+	failed bool // a write of it has failed
 }
 
 type team struct {
@@ -232,6 +234,7 @@
 	copy     ccs.Copy
 	copyRev  uint64 // revision and leader of the last push taken
 	copyTok  uint64
+	copyAcks map[string]uint64 // what it had counted
 	resendAt time.Duration
 	noRoom   []noRoom // claims that found no room since some became free
 	reports  []*wire.Report
--- a/core/lead.go
+++ b/core/lead.go
@@ -36,6 +36,7 @@
 type rental struct {
 	req   wire.RentRequest
 	busy  bool
+	sent  bool // it may have been executed: only the same name may be asked again
 	again time.Duration
 }
 
@@ -597,6 +598,9 @@
 		b.busy = len(m.asg) > 0
 		bins = append(bins, b)
 	}
+	// What was not sent yet is planned anew, together with what came since: the calls are few, so
+	// each should ask for as many machines as are needed of a kind.
+	maps.DeleteFunc(l.rentals, func(_ string, r *rental) bool { return !r.sent })
 	for _, name := range sortedKeys(l.rentals) {
 		r := l.rentals[name]
 		if t := c.catalog[r.req.Type]; t != nil {
@@ -613,6 +617,7 @@
 		c.fit(n, h, order, &pools)
 	}
 	bins = h.bins
+	slices.SortStableFunc(pools, func(x, y pool) int { return order[y] - order[x] })
 	for _, p := range pools {
 		for n := order[p]; n > 0; {
 			k := min(n, 50)
@@ -620,7 +625,6 @@
 			l.hires++
 			name := fmt.Sprintf("h-%d-%s-%06d", l.token, c.cfg.Name, l.hires)
 			l.rentals[name] = &rental{req: wire.RentRequest{Name: name, Type: p.typ, Zone: p.zone, Spot: p.spot, Count: k}}
-			c.note("info", "renting", "hire", name, "type", p.typ, "zone", p.zone, "spot", p.spot, "count", k)
 		}
 	}
 	c.planNote(bins, needs)
@@ -1128,5 +1132,9 @@
 		if !r.busy {
 			return
 		}
+		if !r.sent {
+			r.sent = true
+			c.note("info", "renting", "hire", name, "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count)
+		}
 	}
 }
--- a/core/peers.go
+++ b/core/peers.go
@@ -193,9 +193,13 @@
 		if c.lead != nil {
 			c.lead.take(c, in.Peer, m.Deltas)
 		}
-		c.keepBatch(in.Peer, deltaBatch{m.Deltas.Seq, c.leader.Token, m.Deltas.List})
-		c.reapply(m.Deltas.List)
-		c.room = true
+		// A push may have counted it already: it came by another way. Counted twice, an end would
+		// show room on a full machine until the row changes.
+		if m.Deltas.Seq > c.copyAcks[in.Peer] || c.copyTok != c.leader.Token {
+			c.keepBatch(in.Peer, deltaBatch{m.Deltas.Seq, c.leader.Token, m.Deltas.List})
+			c.reapply(m.Deltas.List)
+			c.room = true
+		}
 	}
 	if len(m.Return)+len(m.Silent) > 0 && c.lead != nil {
 		c.lead.asked(c, m.Return, m.Silent)
@@ -243,7 +247,7 @@
 		}
 		return
 	}
-	c.copyTok, c.copyRev = p.Token, p.Rev
+	c.copyTok, c.copyRev, c.copyAcks = p.Token, p.Rev, p.Acks
 	rows := make([]ccs.Row, 0, len(p.Rows))
 	fresh := make(map[int32]bool, len(p.Rows))
 	for _, r := range p.Rows {
@@ -279,15 +283,6 @@
 		}
 	}
 	again(c.deltas)
-	for _, x := range c.txns { // starts that are being committed
-		for _, pr := range x.props {
-			for _, a := range pr.started {
-				if fresh[a.machine] {
-					c.copy.Apply(ccs.Delta{Start: true, Machine: a.machine, Claim: pr.spec.Claim})
-				}
-			}
-		}
-	}
 	c.room = true
 }
 
--- a/core/place.go
+++ b/core/place.go
@@ -87,17 +87,19 @@
 			if in.Reply.Ledger > j.mark {
 				c.adopt(j, p.rec, p.place, in.Reply.Ledger)
 			}
-			for _, a := range p.started {
-				c.delta(true, a, p.spec.Claim)
-			}
 			if p.accept {
 				c.settleAccept(j, 201, "")
 			}
 			c.settleCancels(j)
 			continue
 		}
-		c.undo(&p)
+		for _, a := range p.started {
+			c.delta(false, a, p.spec.Claim)
+		}
 		c.touch(j)
+		if j.accept != nil {
+			j.accept.failed = true
+		}
 		switch in.Status {
 		case 429, 503: // not executed
 			if in.Status == 503 {
@@ -151,7 +153,9 @@
 	}
 }
 
-// delta notes a start or finish for the leader; the own copy already shows starts.
+// delta notes a start or finish for the leader; the own copy already shows starts. A start is
+// noted when its write is sent: the sooner the others know, the fewer choose the same room. If
+// the write fails, an end follows.
 func (c *Core) delta(start bool, a asg, claim ccs.Vec) {
 	m := c.machines[a.machine]
 	c.deltas = append(c.deltas, DeltaMsg{Start: start, Machine: m.name, Claim: claim})
@@ -222,7 +226,9 @@
 	if c.room && c.now >= c.placeAt {
 		c.room = false
 		c.noRoom = c.noRoom[:0]
-		c.placeAt = c.now + 200*time.Millisecond
+		// Tasks of a job that find room one by one would take a write each, and its team's key
+		// another: where changes are few, they gather.
+		c.placeAt = c.now + max(200*time.Millisecond, time.Duration(2/(0.5*c.writeRate)*float64(time.Second)))
 		for _, j := range c.open {
 			if j.pending && c.mine(j) {
 				c.touch(j)
@@ -283,13 +289,18 @@
 	case len(j.cancels) > 0:
 		return 0
 	case j.accept != nil:
-		return 1
+		return urgentAccept
 	case j.pending:
 		return 2
 	}
 	return 3
 }
 
+const (
+	urgentAccept = 1
+	writesKept   = 2 // changes left for what users wait for
+)
+
 // before orders jobs for placement.
 func (c *Core) before(a, b *job) int {
 	p := func(j *job) (int, int64) {
@@ -324,12 +335,21 @@
 	t     wire.Txn
 	bytes int
 	shard map[int]bool
+
+	waitedFor bool // users wait for it
 }
 
 // take proposes a job's next record; false means that the transaction is full.
 func (b *builder) take(j *job) bool {
 	c := b.c
 	cost := float64(len(b.t.Then) + 1)
+	if u := c.urgency(j); u > urgentAccept && b.waitedFor {
+		return false // one key that others write too must not fail what users wait for
+	} else if u > urgentAccept {
+		cost += writesKept
+	} else {
+		b.waitedFor = true
+	}
 	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.writes < cost {
 		return false
 	}
@@ -340,7 +360,7 @@
 		return true
 	}
 	// What nobody waits for leaves a part of the budget to what somebody does.
-	if p.routine && c.writes < cost+c.writeRate*0.3 {
+	if p.routine && c.writes < cost+c.writeRate*0.2 {
 		j.lookAt = c.now + 100*time.Millisecond
 		return true
 	}
@@ -410,6 +430,11 @@
 	for _, t := range b.teams {
 		t.locked = true
 	}
+	for _, p := range b.props {
+		for _, a := range p.started {
+			b.c.delta(true, a, p.spec.Claim)
+		}
+	}
 	b.c.commit(b.t, &txn{props: b.props, teams: b.teams})
 }
 
@@ -435,10 +460,14 @@
 		spec := j.accept.spec
 		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true}
-		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.now < j.accept.until-1200*time.Millisecond {
+		// Its tasks are placed with the same write if that costs its user no time: a team's key may
+		// be locked, or written by others so often that the write fails.
+		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.now < j.accept.since+2*lockedAgain {
 			return nil, c.now + lockedAgain
 		}
-		c.assign(p, b)
+		if !j.accept.failed {
+			c.assign(p, b)
+		}
 		return p, 0
 	}
 	if j.rec == nil || j.rec.Spec == nil {
--- a/core/users.go
+++ b/core/users.go
@@ -123,7 +123,7 @@
 			j.accept.reqs = append(j.accept.reqs, in.Req)
 			return
 		}
-		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, until: c.now + 1500*time.Millisecond}
+		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + 1500*time.Millisecond}
 		c.touch(j)
 	}
 }
