A job whose waiting tasks do not fit its value is not written again as it was

All changes went to one job of 500 tasks: 33 of them did not fit, and each look wrote the record again (46092 attempts). Ruled out: silence (7 machines), the order of writes.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,6 +124,31 @@
 	}
 }
 
+// A job none of whose waiting tasks fit its value any more was written again and again as it
+// was, 20 times a second, and took the changes that others needed.
+func TestFullRecordIsNotWrittenAgain(t *testing.T) {
+	c := leading(t)
+	c.cfg.ValueBytes = 1700
+	in := submitted("wk-1")
+	in.Spec.Tasks, in.Spec.Claim, in.Spec.Class = 300, [3]int64{1, 0, 1}, strings.Repeat("c", 1200)
+	c.Handle(time.Second, in)
+	drive(c, time.Second, 3*time.Second)
+	j := c.job("wk-1")
+	if n := len(j.place); n == 0 || n >= c.maxPlaced() {
+		t.Fatalf("%d of 300 tasks placed", n)
+	}
+	for now := 3 * time.Second; now < 6*time.Second; now += 100 * time.Millisecond {
+		c.touch(j)
+		for _, o := range outputs[Commit](c.Advance(now)) {
+			for _, w := range o.Txn.Then {
+				if w.Put == keyJob+"wk-1" {
+					t.Fatalf("written again at %v without a change", now)
+				}
+			}
+		}
+	}
+}
+
 // Jobs of hundreds of tasks once were placed in portions of 170, each waiting for the ends of
 // the one before.
 func TestJobOfHundredsIsPlacedAtOnce(t *testing.T) {
--- a/core/orders.go
+++ b/core/orders.go
@@ -323,6 +323,9 @@
 			}
 			if age > c.cfg.CancelIn*35/100 {
 				suspects = append(suspects, m.name)
+				p, there := m.pieces[k]
+				c.note("debug", "cancelled task still there", "job", j.id, "task", a.task, "machine", m.name, "stage", p.state, "reported", there,
+					"dirty", j.dirty, "in_flight", j.inflight, "settled", c.settled(m, j, k))
 			}
 		}
 	}
--- a/core/place.go
+++ b/core/place.go
@@ -29,6 +29,7 @@
 	accept  bool
 	cancel  bool
 	routine bool // it only tells of ends
+	starts  bool // it only starts tasks
 }
 
 // commit sends a transaction and pays for it.
@@ -371,6 +372,12 @@
 		j.dirty = false
 		return true
 	}
+	if p.starts && len(p.started) == 0 {
+		// No start fits the value before others of its tasks have ended. Without this, such a job
+		// was written again and again as it was, and the others starved.
+		j.lookAt = c.now + time.Second
+		return true
+	}
 	shard := p.rec.Shard
 	if !p.cancel || c.mineShard(shard) {
 		if b.shard == nil {
@@ -413,6 +420,7 @@
 		c.undo(&proposal{started: late, spec: p.spec})
 		p.started = p.started[:len(p.started)-n]
 		p.place = p.place[:len(p.place)-n]
+		p.rec.Tries -= uint64(n)
 	}
 }
 
@@ -527,6 +535,7 @@
 		before := len(p.place)
 		again = c.assign(p, b)
 		if len(p.place) > before {
+			p.starts = !changed
 			changed, quick = true, true
 			j.placedMS = c.unixMS()
 			c.note("debug", "tasks placed late", "job", j.id, "class", rec.Spec.Class, "tasks", len(p.place)-before,
