--- a/core/core_test.go
+++ b/core/core_test.go
@@ -486,3 +486,24 @@
 		t.Errorf("a large class keeps room for %v tasks", n)
 	}
 }
+
+// Machines were returned for cancelled tasks that had long stopped: only the write of their
+// ends waited for the change budget.
+func TestStoppedTaskIsNoReasonToReturnItsMachine(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		c := leading(t)
+		c.Handle(time.Second, submitted("wk-1"))
+		drive(c, time.Second, 2*time.Second)
+		j := c.job("wk-1")
+		p := wire.Piece{Piece: "wk-1/0", Try: j.place[0].try, Stage: wire.TaskRunning}
+		if stopped {
+			p.Stage, p.Cause = wire.TaskExited, wire.CauseStopped
+		}
+		j.rec.Stage, j.rec.CancelMS = stCancelled, c.unixMS()
+		c.Handle(2*time.Second, Beat{Req: 10, Report: report(2, p)})
+		c.now = 2*time.Second + c.cfg.CancelIn/2
+		if got := len(c.sweepCancels()); got != map[bool]int{false: 1, true: 0}[stopped] {
+			t.Errorf("stopped %v: %d machines asked for", stopped, got)
+		}
+	}
+}
--- a/core/orders.go
+++ b/core/orders.go
@@ -314,7 +314,9 @@
 		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
 		for _, a := range j.place {
 			m := c.machines[a.machine]
-			if m.gone {
+			// A reported end is proof, also while the write of it waits for the change budget:
+			// machines were returned for tasks that had long stopped.
+			if ended, _ := c.fate(j, a); ended {
 				continue
 			}
 			k := attKey{j.idx, a.task, a.try}
@@ -323,9 +325,6 @@
 			}
 			if age > c.cfg.CancelIn*35/100 {
 				suspects = append(suspects, m.name)
-				p, there := m.pieces[k]
-				c.note("debug", "cancelled task still there", "job", j.id, "task", a.task, "machine", m.name, "stage", p.state, "reported", there,
-					"dirty", j.dirty, "in_flight", j.inflight, "settled", c.settled(m, j, k))
 			}
 		}
 	}
