A cut zone's work is taken over before its machines are returned

Now a zone most of whose machines are quiet is held: its tasks count as needs elsewhere, nothing is rented there, and it is returned when the rented machines should be up or the workers' leases are about to end. Machines with replicas go first.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -507,3 +507,49 @@
 		}
 	}
 }
+
+// All machines of a cut-off zone were returned after a few seconds, with all the tasks that ran
+// on there, and nothing was up to take them. Now others are rented first.
+func TestCutZoneIsReplacedBeforeItIsReturned(t *testing.T) {
+	c := leading(t)
+	c.catalog["x"].Zones, c.catalog["x"].BootS = []string{"a", "b"}, 6
+	say := func(now time.Duration, seq uint64, zone string) {
+		c.Handle(now, Beat{Req: 9, Report: report(seq)})
+		for i := 2; i < 8; i++ {
+			r := report(seq)
+			r.Machine, r.Zone = wire.TaskName("m", i), []string{"a", "b"}[i%2]
+			r.Pieces = []wire.Piece{{Piece: wire.TaskName("wk-9", i), Try: 1, Stage: wire.TaskRunning}}
+			if zone == "" || r.Zone == zone {
+				c.Handle(now, Beat{Req: 9, Report: r})
+			}
+		}
+	}
+	say(time.Second, 2, "")
+	lost := c.machine("m/3")
+	var rented, returned time.Duration
+	seq := uint64(2)
+	for now := time.Second; now < 25*time.Second; now += time.Second {
+		seq++
+		say(now, seq, "a")
+		j := c.job("wk-8")
+		j.mark, j.rec, j.place = 1, &record{Spec: &wire.Spec{ID: "wk-8", Tasks: 8, Team: "t", Claim: [3]int64{4000, 0, 1000}}}, nil
+		for i := int32(0); i < 8; i++ { // more than the other zone has room for
+			j.place = append(j.place, asg{i, lost.idx, 1, 1})
+			lost.asg[taskKey{j.idx, i}] = j.place[i]
+		}
+		c.touch(j)
+		drive(c, now, now+time.Second)
+		if rented == 0 && c.lead.hires > 0 {
+			rented = now
+		}
+		if returned == 0 && lost.lead.why != "" {
+			returned = now
+		}
+	}
+	if rented == 0 || returned == 0 || returned-rented < 5*time.Second {
+		t.Errorf("rented at %v, returned at %v", rented, returned)
+	}
+	if m := c.machine("m/2"); m.lead.why == "silent" {
+		t.Error("a machine of the other zone was returned")
+	}
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -25,6 +25,7 @@
 	closed    bool          // offered last: the rest of the machines has room enough
 	keep      ccs.Vec       // room kept for work that may not use spot machines
 	why       string        // why it must be returned; "": it need not
+	cut       bool          // it is quiet with most of its zone: others are to take its work over
 }
 
 type pool struct {
@@ -440,25 +441,43 @@
 // and those whose notice runs out.
 func (c *Core) watchMachines() {
 	l := c.lead
-	up, silent := 0, 0
+	type count struct{ up, silent int }
+	zones, all := map[string]*count{}, &count{}
 	for _, m := range c.alive {
-		if m.gone {
+		if m.gone || !m.up {
 			continue
 		}
-		if m.up {
-			up++
+		z := zones[m.zone]
+		if z == nil {
+			z = &count{}
+			zones[m.zone] = z
+		}
+		for _, n := range []*count{z, all} {
+			n.up++
 			if c.now-m.heard > c.silent()*4/5 {
-				silent++
+				n.silent++
 			}
 		}
 	}
 	// If most are silent at once, it is rather this controller that does not hear.
-	deaf := silent*2 > up && silent > 1
+	deaf := all.silent*2 > all.up && all.silent > 1
+	for zone, n := range zones {
+		if deaf || n.silent*2 <= n.up || n.silent < 3 {
+			delete(zones, zone)
+			continue
+		}
+		for _, typ := range c.types { // what would be rented there could not be used
+			for _, spot := range []bool{false, true} {
+				l.blocked[pool{typ, zone, spot}] = c.now + 3*time.Second
+			}
+		}
+	}
 	for _, m := range c.alive {
 		if m.gone || m.lead.why != "" {
 			continue
 		}
 		quiet := c.now - m.heard
+		m.lead.cut = m.up && zones[m.zone] != nil && quiet > c.reportDue()
 		switch {
 		case !m.up:
 			boot := 30 * time.Second
@@ -470,6 +489,8 @@
 			}
 		case m.noticed > 0 && c.now > m.noticed-1500*time.Millisecond:
 			c.mustReturn(m, "its notice runs out")
+		case m.lead.cut && quiet < c.cutPatience(m):
+			c.probe(m)
 		case quiet > c.silent() && (!deaf || quiet > c.cfg.WorkerLease+10*time.Second) && c.now-l.since > c.silent():
 			c.mustReturn(m, "silent")
 		case m.faulty():
@@ -480,6 +501,21 @@
 	}
 }
 
+// cutPatience is how long the machines of a silent zone are kept. The zone may only be cut off:
+// its tasks run on until the workers' leases end. So others are rented first, and these are
+// returned when those should be up. When they were returned at once, all tasks there ended
+// while nothing was up to take them.
+func (c *Core) cutPatience(m *machine) time.Duration {
+	boot := 0.0
+	if t := c.catalog[m.typ]; t != nil {
+		boot = t.BootS
+	}
+	ready := c.silent() + time.Duration(boot*float64(time.Second)) + rentTime
+	return max(c.silent(), min(ready, c.cfg.WorkerLease-rentTime))
+}
+
+const rentTime = 3 * time.Second // from a need to the rental, and from a boot to the first start
+
 // reportDue is how long a machine that is well stays quiet at most.
 func (c *Core) reportDue() time.Duration { return c.cfg.ReportEvery*5/4 + 300*time.Millisecond }
 
@@ -503,14 +539,25 @@
 	if l.returnOp {
 		return
 	}
-	names := slices.Clone(l.cleanup)
+	var due []*machine
 	for _, m := range c.alive {
-		if !m.gone && m.lead.why != "" && len(names) < 100 {
-			m.returning = true
-			names = append(names, m.name)
+		if !m.gone && m.lead.why != "" {
+			due = append(due, m)
 		}
 	}
-	names = names[:min(len(names), 100)]
+	// Replicas wait for the proof; those of a lost zone are many.
+	first := func(m *machine) int {
+		if c.horizon(m) < forever {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(due, func(x, y *machine) int { return first(x) - first(y) })
+	names := slices.Clone(l.cleanup[:min(len(l.cleanup), 50)])
+	for _, m := range due[:min(len(due), 100-len(names))] {
+		m.returning = true
+		names = append(names, m.name)
+	}
 	if len(names) == 0 {
 		return
 	}
@@ -530,7 +577,7 @@
 		for _, n := range names {
 			c.proved(c.machine(n))
 		}
-		l.cleanup = nil
+		l.cleanup = slices.DeleteFunc(l.cleanup, func(n string) bool { return slices.Contains(names, n) })
 	})
 }
 
@@ -556,6 +603,7 @@
 	n       int
 	zones   map[string]int
 	reserve bool
+	standby bool // the tasks still run, on machines that will probably be returned
 	prio    int
 	at      int64
 }
@@ -580,7 +628,7 @@
 	var bins []*bin
 	for _, m := range c.alive {
 		t := c.catalog[m.typ]
-		if m.gone || m.lead.why != "" || m.noticed > 0 || t == nil || m.faulty() {
+		if m.gone || m.lead.why != "" || m.lead.cut || m.noticed > 0 || t == nil || m.faulty() {
 			continue
 		}
 		b := &bin{m: m, pool: pool{m.typ, m.zone, m.spot}, room: t.Room()}
@@ -747,7 +795,7 @@
 			boot = t.BootS
 		}
 	}
-	return time.Duration(boot*float64(time.Second)) + 3*time.Second
+	return time.Duration(boot*float64(time.Second)) + rentTime
 }
 
 // needs lists the tasks that wait, and the spare room for those to come.
@@ -773,14 +821,21 @@
 		s := j.rec.Spec
 		running[s.Class] += len(j.place)
 		n := s.Tasks - j.rec.Done.count() - len(j.place)
-		if n <= 0 || c.now < j.backoff {
-			continue
-		}
+		cut := 0
 		zones := map[string]int{}
 		for _, a := range j.place {
-			zones[c.machines[a.machine].zone]++
+			if m := c.machines[a.machine]; m.lead.cut {
+				cut++
+			} else {
+				zones[m.zone]++
+			}
+		}
+		if n > 0 && c.now >= j.backoff {
+			out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: s.Priority, at: j.rec.AtMS})
+		}
+		if cut > 0 {
+			out = append(out, need{job: j, spec: s, n: cut, zones: zones, standby: true, prio: s.Priority, at: j.rec.AtMS})
 		}
-		out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: s.Priority, at: j.rec.AtMS})
 	}
 	for class, st := range c.classes {
 		if running[class] == 0 && c.now-st.last > 3*time.Minute {
@@ -811,7 +866,7 @@
 	for i := range out {
 		n := &out[i]
 		t := c.teamOf(n.spec)
-		if t == nil || n.reserve {
+		if t == nil || n.reserve || n.standby {
 			continue
 		}
 		u := left[t]
@@ -941,7 +996,7 @@
 			}
 		}
 	}
-	if !n.reserve && s.Service {
+	if !n.reserve && !n.standby && s.Service {
 		fill(func(b *bin) bool { return b.m != nil && b.m.up })
 		n.n -= c.makeRoom(n, h.bins, room)
 	}
