--- a/controller.go
+++ b/controller.go
@@ -76,6 +76,9 @@
 		SpareShare: t.GetSpareShare(), SpareService: t.GetSpareService(), SpareDev: t.GetSpareDeviations(),
 		Idle: ms(t.GetIdleMs()), IdleBoots: t.GetIdleBoots(), SoonBoots: t.GetSoonBoots(),
 		Silent: ms(t.GetSilentMs()), BootPatience: t.GetBootPatience(), Settle: ms(t.GetSettleMs()),
+		CancelShare: t.GetCancelShare(),
+		WholePush:   ms(t.GetWholePushMs()), PushGap: ms(t.GetPushGapMs()), OrderAgain: ms(t.GetOrderAgainMs()), ClearWait: ms(t.GetClearMs()), PassTime: ms(t.GetPassMs()),
+		LinkLost: ms(t.GetLinkLostMs()), RoomAgain: ms(t.GetRoomAgainMs()), ListEvery: ms(t.GetListMs()), SettleMost: ms(t.GetSettleMostMs()),
 	}
 	for _, q := range p.Peers {
 		cfg.Peers = append(cfg.Peers, q.Name)
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -15,7 +15,9 @@
 	return Config{Name: "n0", Peers: []string{"n1", "n2"}, Teams: []Team{{Name: "t"}}, Lease: 4 * time.Second, Shards: 4,
 		StateRPS: 100, WriteRPS: 100, WriteShare: 0.6, ValueBytes: 8192, TxnOps: 12, CloudRPS: 4, ReportEvery: 3 * time.Second,
 		WorkerLease: 20 * time.Second, CancelIn: 40 * time.Second, DeltaEvery: 50 * time.Millisecond, PushEvery: 200 * time.Millisecond,
-		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3}
+		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
+		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
+		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35}
 }
 
 func outputs[T Output](out []Output) []T {
--- a/core/lead.go
+++ b/core/lead.go
@@ -193,16 +193,12 @@
 		c.rentSome()
 		c.returnSome()
 	}
-	if c.now >= l.pushAt || l.pushNow && c.now >= l.pushed+pushGap {
+	if c.now >= l.pushAt || l.pushNow && c.now >= l.pushed+c.cfg.PushGap {
 		c.push()
 	}
 }
 
-const (
-	pushGap   = 100 * time.Millisecond // between two pushes, however much there is to tell
-	wholePush = 10 * time.Second       // between two pushes of the whole array: the paper's interval
-	goneKept  = 2000
-)
+const goneKept = 2000 // machines whose end is told with every whole array
 
 // leadSaw seeds a machine's row from its report.
 func (c *Core) leadSaw(m *machine) {
@@ -305,7 +301,7 @@
 	p.Gone, l.goneNew = l.goneNew, nil
 	if c.now >= l.fullAt || l.pushRev == 0 {
 		p.After = 0
-		l.fullAt = c.now + wholePush
+		l.fullAt = c.now + c.cfg.WholePush
 		l.gone = l.gone[max(0, len(l.gone)-goneKept):]
 		p.Gone = slices.Clone(l.gone)
 	}
@@ -394,7 +390,7 @@
 			l.listAt = c.now + time.Second
 			return
 		}
-		l.listAt = c.now + listEvery
+		l.listAt = c.now + c.cfg.ListEvery
 		l.listFrom = ""
 		if n := len(in.Machines); in.More && n > 0 {
 			l.listFrom = in.Machines[n-1].Name
@@ -426,8 +422,6 @@
 	})
 }
 
-const listEvery = 2500 * time.Millisecond // between two pages of the cloud's list
-
 // proved records and tells proof that a machine is gone.
 func (c *Core) proved(m *machine) {
 	if m.gone {
@@ -1033,13 +1027,11 @@
 	}
 }
 
-const roomAgain = 4 * time.Second // room is made for a job once in this time
-
 // makeRoom stops tasks of lower priority for replicas that find no room now: machines that
 // boot would come too late for them. It takes those with the least work to lose.
 func (c *Core) makeRoom(n need, bins []*bin, room func(string) int64) int {
 	l := c.lead
-	if at, ok := l.stopped[n.job.idx]; n.n <= 0 || ok && c.now-at < roomAgain {
+	if at, ok := l.stopped[n.job.idx]; n.n <= 0 || ok && c.now-at < c.cfg.RoomAgain {
 		return max(0, n.n) // what was stopped is about to go
 	}
 	type place struct {
--- a/core/orders.go
+++ b/core/orders.go
@@ -7,8 +7,6 @@
 	"dewlift/wire"
 )
 
-const orderAgain = time.Second // an order without effect is sent again after this long
-
 // orders works out what each machine must be told and sends it.
 func (c *Core) orders() {
 	c.expireSends()
@@ -21,7 +19,7 @@
 			m.hot = false // its first report touches it again
 			return true
 		}
-		if m.send != 0 || c.now < m.nextSend || !m.touched && c.now < m.probed+orderAgain {
+		if m.send != 0 || c.now < m.nextSend || !m.touched && c.now < m.probed+c.cfg.OrderAgain {
 			return false
 		}
 		m.touched = false
@@ -51,7 +49,7 @@
 	var keys, clears []attKey
 	add := func(op string, k attKey, grace float64) {
 		a := c.attempt(m, k)
-		if a.everSent && c.now-a.sent < orderAgain {
+		if a.everSent && c.now-a.sent < c.cfg.OrderAgain {
 			return
 		}
 		a.sent, a.everSent = c.now, true
@@ -114,7 +112,7 @@
 	if len(clears) == 0 {
 		m.clearAt = 0
 	} else if m.clearAt == 0 {
-		m.clearAt = c.now + clearWait
+		m.clearAt = c.now + c.cfg.ClearWait
 	}
 	if len(list) > 0 || m.clearAt != 0 && c.now >= m.clearAt || len(clears) > clearMost {
 		for _, k := range clears {
@@ -144,7 +142,7 @@
 	m.send, m.sendTok, m.sendKeys = id, c.epoch, keys
 	o := Orders{ID: id, Machine: m.name, Addr: m.addr, Body: body}
 	if by := c.otherWay(m); by != "" {
-		c.sends[id] = send{m.idx, c.now + passTime}
+		c.sends[id] = send{m.idx, c.now + c.cfg.PassTime}
 		c.emit(ToPeer{Peer: by, Msg: Msg{Orders: &o}})
 		return true
 	}
@@ -153,12 +151,7 @@
 	return true
 }
 
-const (
-	clearWait = 2 * time.Second // that ended tasks wait to be forgotten together
-	clearMost = 8
-)
-
-const passTime = 3 * time.Second // for orders passed on by another controller
+const clearMost = 8 // ended tasks that a machine reports at most
 
 // otherWay is the peer by which a machine that does not answer is tried, every other time.
 func (c *Core) otherWay(m *machine) string {
@@ -251,7 +244,7 @@
 			c.afterBarrier(func(bool) {})
 		}
 	default:
-		m.nextSend = c.now + orderAgain
+		m.nextSend = c.now + c.cfg.OrderAgain
 	}
 }
 
@@ -323,7 +316,7 @@
 			if t := m.att[k]; t != nil && t.lost != 0 && m.token <= t.lost && c.epoch <= t.lost {
 				c.bump()
 			}
-			if age > c.cfg.CancelIn*35/100 {
+			if age > time.Duration(c.cfg.CancelShare*float64(c.cfg.CancelIn)) {
 				suspects = append(suspects, m.name)
 			}
 		}
--- a/core/peers.go
+++ b/core/peers.go
@@ -8,11 +8,9 @@
 	"dewlift/wire"
 )
 
-const linkLost = 1500 * time.Millisecond // a peer not heard of for this long is not reached
-
 func (c *Core) linked(name string) bool {
 	p := c.peers[name]
-	return p != nil && p.known && c.now-p.heard < linkLost
+	return p != nil && p.known && c.now-p.heard < c.cfg.LinkLost
 }
 
 // tell sends a message to a peer, or to all. One that is not reached gets it by way of
--- a/core/place.go
+++ b/core/place.go
@@ -266,7 +266,7 @@
 			running++
 		}
 	}
-	c.settle = min(maxSettle, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.writeRate)*float64(time.Second))))
+	c.settle = min(c.cfg.SettleMost, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.writeRate)*float64(time.Second))))
 	slices.SortStableFunc(todo, func(a, b *job) int {
 		if d := c.urgency(a) - c.urgency(b); d != 0 {
 			return d
@@ -282,8 +282,6 @@
 	b.flush()
 }
 
-const maxSettle = 2 * time.Second // users may wait 3 s for the news that a job is done
-
 // urgency orders writes: cancellations, then acceptances, then placements, then completions.
 func (c *Core) urgency(j *job) int {
 	switch {
--- a/core/types.go
+++ b/core/types.go
@@ -51,6 +51,17 @@
 	Silent       time.Duration // after a machine's report was due at the latest
 	BootPatience float64
 	Settle       time.Duration
+	SettleMost   time.Duration
+
+	WholePush   time.Duration
+	PushGap     time.Duration
+	OrderAgain  time.Duration
+	ClearWait   time.Duration
+	PassTime    time.Duration
+	LinkLost    time.Duration
+	RoomAgain   time.Duration
+	ListEvery   time.Duration
+	CancelShare float64 // of CancelIn, after which machines with cancelled tasks are returned
 }
 
 // Team is a team with its guarantee and limit in thousandths; 0 means none.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -139,7 +139,9 @@
 		TxnOps: 12, CloudRPS: 4, ListLag: 3 * time.Second, ReportEvery: reportEvery, WorkerLease: workerLease,
 		CancelIn: cancelIn, DeltaEvery: 500 * time.Millisecond, PushEvery: time.Second, CopyExpire: 10 * time.Second,
 		ProbeRatio: 2, PreferImage: true, PreferSpot: true, SpareShare: 0.2, Idle: 5 * time.Second, Silent: 4 * time.Second,
-		BootPatience: 3, Settle: 300 * time.Millisecond}
+		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
+		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
+		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35}
 	for _, o := range w.nodes {
 		if o != n {
 			cfg.Peers = append(cfg.Peers, o.name)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,7 +152,9 @@
 		WriteShare: ptr(0.6), DeltaMs: ptr(uint32(50)), PushMs: ptr(uint32(500)), ExpireMs: ptr(uint32(30000)),
 		ProbeRatio: ptr(2.0), RandomFill: ptr(false), PreferImage: ptr(true), PreferSpot: ptr(true), HorizonMs: ptr(uint32(10000)),
 		SpareShare: ptr(0.25), SpareService: ptr(0.2), SpareDeviations: ptr(1.0), IdleBoots: ptr(0.0), SoonBoots: ptr(1.0), IdleMs: ptr(uint32(4000)), SilentMs: ptr(uint32(2500)), BootPatience: ptr(3.0),
-		SettleMs: ptr(uint32(300)),
+		SettleMs: ptr(uint32(300)), CancelShare: ptr(0.35),
+		WholePushMs: ptr(uint32(10000)), PushGapMs: ptr(uint32(100)), OrderAgainMs: ptr(uint32(1000)), ClearMs: ptr(uint32(2000)), PassMs: ptr(uint32(3000)),
+		LinkLostMs: ptr(uint32(1500)), RoomAgainMs: ptr(uint32(4000)), ListMs: ptr(uint32(2500)), SettleMostMs: ptr(uint32(2000)),
 	}
 }
 
@@ -193,6 +195,16 @@
 		{"soon_boots", t.GetSoonBoots(), 0, 100},
 		{"idle_ms", float64(t.GetIdleMs()), 0, 3600000}, {"silent_ms", float64(t.GetSilentMs()), 500, 3600000},
 		{"boot_patience", t.GetBootPatience(), 1, 100}, {"settle_ms", float64(t.GetSettleMs()), 0, 2000},
+		{"cancel_share", t.GetCancelShare(), 0.05, 0.9},
+		{"whole_push_ms", float64(t.GetWholePushMs()), 100, 600000},
+		{"push_gap_ms", float64(t.GetPushGapMs()), 20, 10000},
+		{"order_again_ms", float64(t.GetOrderAgainMs()), 100, 10000},
+		{"clear_ms", float64(t.GetClearMs()), 0, 10000},
+		{"pass_ms", float64(t.GetPassMs()), 500, 30000},
+		{"link_lost_ms", float64(t.GetLinkLostMs()), 600, 30000},
+		{"room_again_ms", float64(t.GetRoomAgainMs()), 500, 60000},
+		{"list_ms", float64(t.GetListMs()), 500, 60000},
+		{"settle_most_ms", float64(t.GetSettleMostMs()), 0, 2500},
 	} {
 		if !(r.v >= r.min && r.v <= r.max) {
 			return fmt.Errorf("%s is %v, must be from %v to %v", r.field, r.v, r.min, r.max)
