Work of lower priority leaves room to those that wait; acceptances go out sooner

Cause: while the fleet was full (70 s of 'waiting' with nothing empty), each controller gave freed room to the first of its own jobs, blend-plans of lower priority too, while urgent jobs of other controllers waited. A push now names the most urgent priority that waits and its smallest claim; candidates that fit it are not for lower priorities. Cause: an acceptance waited 80 to 230 ms after any 429, behind three writes on their way and an empty request budget, as housekeeping did.

--- a/core/core.go
+++ b/core/core.go
@@ -220,22 +220,24 @@
 	bumping    bool
 	bumpAt     time.Duration
 
-	txns      map[uint64]*txn
-	writes    float64 // change budget
-	reads     float64 // request budget
-	writeRate float64 // what this controller may use of the service's limits, a second
-	readRate  float64
-	spent     float64       // changes since the others were told last
-	used      float64       // changes a second of late
-	settle    time.Duration // how long ends may wait to share a write
-	budgetAt  time.Duration
-	holdUntil time.Duration // after a 429
+	txns       map[uint64]*txn
+	writes     float64 // change budget
+	reads      float64 // request budget
+	writeRate  float64 // what this controller may use of the service's limits, a second
+	readRate   float64
+	spent      float64       // changes since the others were told last
+	used       float64       // changes a second of late
+	settle     time.Duration // how long ends may wait to share a write
+	budgetAt   time.Duration
+	holdUntil  time.Duration // after a 429
+	holdUrgent time.Duration // the same for what users wait for
 
 	copy     ccs.Copy
 	copyRev  uint64 // revision and leader of the last push taken
 	copyTok  uint64
 	copyAcks map[string]uint64 // what it had counted
 	resendAt time.Duration
+	hold     *Hold    // as the leader told with the last push
 	noRoom   []noRoom // claims that found no room since some became free
 	reports  []*wire.Report
 	heardOf  []Heard
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -555,3 +555,35 @@
 		t.Error("a machine of the other zone was returned")
 	}
 }
+
+// Work of lower priority took each bit of room that came free, while urgent jobs of other
+// controllers waited for it.
+func TestLowerPriorityLeavesRoomToThoseThatWait(t *testing.T) {
+	for _, prio := range []int{1, 2} {
+		c := leading(t)
+		drive(c, time.Second, 2*time.Second) // the machine of 4 CPUs is in the array
+		c.lead = nil
+		c.leader.Node = "n1"
+		c.hold = &Hold{Priority: 1, Claim: ccs.Vec{2000, 0, 1000}}
+		in := submitted("wk-1")
+		in.Spec.Priority = prio
+		in.Spec.Tasks = 4
+		c.Handle(2*time.Second, in)
+		drive(c, 2*time.Second, 3*time.Second)
+		// A lower one may use what the waiting claim does not fit into: nothing, while all is free.
+		if got, want := len(c.job("wk-1").place), map[int]int{1: 4, 2: 0}[prio]; got != want {
+			t.Errorf("priority %d: %d tasks placed, want %d", prio, got, want)
+		}
+	}
+}
+
+func TestHoldIsForTheMostUrgent(t *testing.T) {
+	var h *Hold
+	h = h.with(2, ccs.Vec{4000, 0, 4000})
+	h = h.with(1, ccs.Vec{3000, 0, 9000})
+	h = h.with(2, ccs.Vec{1, 0, 1})
+	h = h.with(1, ccs.Vec{5000, 0, 8000})
+	if *h != (Hold{1, ccs.Vec{3000, 0, 8000}}) {
+		t.Errorf("got %+v", *h)
+	}
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -74,8 +74,9 @@
 	callsAt  time.Duration
 	backoff  time.Duration
 	returnOp bool
-	gone     []string                // told with every whole array
-	goneNew  []string                // told with the next push
+	gone     []string // told with every whole array
+	goneNew  []string // told with the next push
+	hold     *Hold
 	stops    []StopMsg               // for the next push
 	stopped  map[int32]time.Duration // when room was last made for a job
 	cleanup  []string                // failed machines that are still listed
@@ -313,6 +314,7 @@
 			Avail: r.Avail, Occ: r.Occ, Keep: r.Keep, Last: r.Last, Closed: !r.Offered})
 	}
 	p.Stop, l.stops = l.stops, nil
+	p.Hold = l.hold
 	c.tell("", Msg{Push: p})
 	c.pushed(p)
 }
@@ -655,8 +657,11 @@
 	order := map[pool]int{}
 	var pools []pool // in the order of urgency
 	h := c.newShelf(bins)
+	l.hold = nil
 	for _, n := range needs {
-		c.fit(n, h, order, &pools)
+		if c.fit(n, h, order, &pools) < n.n && !n.reserve && !n.standby && n.spec.Spot && n.spec.Types == nil && n.spec.Zone == "" {
+			l.hold = l.hold.with(n.prio, n.spec.Claim)
+		}
 	}
 	bins = h.bins
 	slices.SortStableFunc(pools, func(x, y pool) int { return order[y] - order[x] })
@@ -950,8 +955,22 @@
 	h.zone[b.pool.zone]++
 }
 
-// fit puts a need on the shelf, and orders machines for what does not fit.
-func (c *Core) fit(n need, h *shelf, order map[pool]int, pools *[]pool) {
+// with is the hold with one more kind of task that waits for room.
+func (h *Hold) with(prio int, claim ccs.Vec) *Hold {
+	switch {
+	case h == nil || prio < h.Priority:
+		return &Hold{prio, claim}
+	case prio == h.Priority:
+		for i := range claim {
+			h.Claim[i] = min(h.Claim[i], claim[i])
+		}
+	}
+	return h
+}
+
+// fit puts a need on the shelf, and orders machines for what does not fit. It returns how many
+// tasks fit on machines that are up.
+func (c *Core) fit(n need, h *shelf, order map[pool]int, pools *[]pool) (now int) {
 	s := n.spec
 	limit := (s.Tasks + 1) / 2
 	room := func(zone string) int64 {
@@ -972,6 +991,9 @@
 		}
 		n.n -= int(k)
 		n.zones[b.pool.zone] += int(k)
+		if b.m != nil && b.m.up {
+			now += int(k)
+		}
 	}
 	may := func(b *bin) bool {
 		return c.typeAllowed(s, b.pool.typ) && (s.Zone == "" || s.Zone == b.pool.zone) && (s.Spot || !b.pool.spot)
@@ -998,7 +1020,7 @@
 	if !n.reserve {
 		for _, b := range shelf {
 			if n.n <= 0 {
-				return
+				return now
 			}
 			if b.soon == (ccs.Vec{}) || !may(b) {
 				continue
@@ -1025,6 +1047,7 @@
 		h.add(b)
 		put(b)
 	}
+	return now
 }
 
 // makeRoom stops tasks of lower priority for replicas that find no room now: machines that
--- a/core/peers.go
+++ b/core/peers.go
@@ -236,6 +236,7 @@
 			c.stopTask(m, attKey{j.idx, x.Task, x.Try}, j.rec.Spec, "made room for higher priority")
 		}
 	}
+	c.hold = p.Hold
 	whole := p.After == 0
 	if !whole && (p.Token != c.copyTok || p.After != c.copyRev) {
 		// A push was lost on the way. The copy ages until the whole array comes.
--- a/core/place.go
+++ b/core/place.go
@@ -53,9 +53,11 @@
 	c.stateAnswered(in.Status)
 	if in.Status == 429 {
 		c.holdUntil = c.now + 80*time.Millisecond + c.jitter(150*time.Millisecond)
+		c.holdUrgent = c.now + 20*time.Millisecond + c.jitter(40*time.Millisecond)
 	}
 	if in.Status == 503 || in.Status == 0 {
 		c.holdUntil = c.now + 100*time.Millisecond + c.jitter(100*time.Millisecond)
+		c.holdUrgent = c.holdUntil
 	}
 	if in.Status != 200 {
 		c.note("debug", "transaction not committed", "status", in.Status, "failed", in.Reply.Failed, "error", in.Reply.Error)
@@ -256,7 +258,12 @@
 		}
 		todo = append(todo, j)
 	}
-	if c.now < c.holdUntil || inflight >= 3 || !c.leaseOK() || len(todo) == 0 || c.reads < 1 {
+	// What users wait for goes out sooner: a full budget or slow answers hold it back less.
+	hold, most, reads := c.holdUntil, 3, 1.0
+	if slices.ContainsFunc(todo, func(j *job) bool { return c.urgency(j) <= urgentAccept }) {
+		hold, most, reads = c.holdUrgent, 6, -c.readRate/2
+	}
+	if c.now < hold || inflight >= most || !c.leaseOK() || len(todo) == 0 || c.reads < reads {
 		return
 	}
 	// Ends of tasks share writes: the more jobs run, the longer they wait for others.
@@ -651,10 +658,11 @@
 			only = c.bestZone(s)
 		}
 	}
+	held := c.hold != nil && s.Priority > c.hold.Priority && c.copy.Valid(c.now)
 	ask := ccs.Ask{N: int(math.Ceil(c.cfg.ProbeRatio * float64(len(tasks)))), Claim: s.Claim, Fill: c.cfg.RandomFill, Keep: s.Spot,
 		Allow: func(i int32) bool {
 			m := c.machines[i]
-			return c.usable(m) && c.allowed(s, m) && (only == "" || m.zone == only)
+			return c.usable(m) && c.allowed(s, m) && (only == "" || m.zone == only) && !(held && c.copy.Row(i).Avail.Fits(c.hold.Claim))
 		}}
 	if !c.copy.Valid(c.now) {
 		for _, m := range c.alive {
@@ -680,7 +688,7 @@
 		return t
 	}
 	cands := c.copy.Candidates(c.now, ask, c.rng)
-	if len(cands) == 0 && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
+	if len(cands) == 0 && !held && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
 		c.noRoom = append(c.noRoom, noRoom{s.Claim, s.Spot})
 	}
 	cap := (s.Tasks + 1) / 2
--- a/core/types.go
+++ b/core/types.go
@@ -299,6 +299,14 @@
 	Gone  []string          `json:"gone,omitempty"` // machines that are gone for certain
 	Acks  map[string]uint64 `json:"acks,omitempty"` // last batch counted of each controller
 	Token uint64            `json:"tok"`            // of the leader
+	Hold  *Hold             `json:"hold,omitempty"` // nil: no room is held
+}
+
+// Hold says that tasks of a priority wait for room: work of lower priority leaves them what
+// their smallest claim fits into.
+type Hold struct {
+	Priority int     `json:"p"`
+	Claim    ccs.Vec `json:"c"`
 }
 
 // StopMsg names a task's attempt that must make room for work of higher priority.
