Every controller accepts, shards are shared evenly, acceptances may overdraw the budget

Now: who holds most gives a shard up while another holds two fewer; a controller without one writes a new job, without tasks, into another's shard (on condition that it does not exist); acceptances and cancellations overdraw the own part and learn from 429.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -587,3 +587,55 @@
 		t.Errorf("got %+v", *h)
 	}
 }
+
+// Twelve shards among five controllers: four held three each, the fifth none, and it refused
+// every submission. Who holds most gives one up, and who has none accepts all the same.
+func TestControllerWithoutShardServes(t *testing.T) {
+	holders := func(me int) *Core {
+		cfg := testConfig()
+		cfg.Shards, cfg.Peers = 12, []string{"n1", "n2", "n3", "n4"}
+		c := New(cfg, 0, 1)
+		c.Advance(time.Second)
+		types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 4, MemoryGB: 8, Price: 1, Zones: []string{"a"}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := Loaded{OK: true, Ledger: 5, Items: []wire.Item{{Key: keyTypes, Value: types, Mark: 5}, {Key: keyEpoch, Value: json.RawMessage("1"), Mark: 5}}}
+		names := []string{"n1", "n2", "n3", "n4", "n0"}
+		for i := range names {
+			raw, err := json.Marshal(held{Node: names[i], Lease: uint64(7 + i), Token: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			in.Items = append(in.Items, wire.Item{Key: keyNode + names[i], Value: raw, Mark: 5}, wire.Item{Key: keyLeader, Value: raw, Mark: 5})
+			for s := 0; s < 3 && i < 4; s++ {
+				in.Items = append(in.Items, wire.Item{Key: shardKey(i*3 + s), Value: raw, Mark: 5})
+			}
+		}
+		c.cfg.Name = names[me]
+		c.Handle(time.Second, Leased{Op: "grant", Status: 200, Lease: uint64(7 + me)})
+		c.Handle(time.Second, in)
+		return c
+	}
+	c := holders(4)
+	c.Handle(1100*time.Millisecond, submitted("wk-1"))
+	accepted := false
+	for _, o := range outputs[Commit](c.Advance(1100 * time.Millisecond)) {
+		for _, w := range o.Txn.Then {
+			accepted = accepted || w.Put == keyJob+"wk-1" && len(o.Txn.If) == 1
+		}
+	}
+	if !accepted {
+		t.Error("a controller without a shard does not accept")
+	}
+	c = holders(0)
+	gave := false
+	for _, o := range outputs[Commit](c.Advance(3 * time.Second)) {
+		for _, w := range o.Txn.Then {
+			gave = gave || w.Delete != ""
+		}
+	}
+	if !gave {
+		t.Error("a controller with three shards gives none to one without")
+	}
+}
--- a/core/own.go
+++ b/core/own.go
@@ -99,12 +99,18 @@
 	// Everyone has a moment to show itself, so that the shards spread at a common start.
 	settled := have && c.now-c.started > 700*time.Millisecond
 	fair := (len(c.shards) + len(live) - 1) / len(live)
-	count := 0
+	counts := map[string]int{}
 	for i := range c.shards {
-		if c.mineShard(i) {
-			count++
+		if s := &c.shards[i]; s.mark != 0 {
+			counts[s.Node]++
 		}
 	}
+	count, fewest, most := counts[c.cfg.Name], len(c.shards), 0
+	for _, n := range live {
+		fewest, most = min(fewest, counts[n]), max(most, counts[n])
+	}
+	// Twelve shards among five: by the rounded share alone, four had three and one none.
+	uneven := count == most && most-fewest >= 2
 	var claims []int
 	for i := range c.shards {
 		s := &c.shards[i]
@@ -119,6 +125,9 @@
 		if count+len(claims) >= fair {
 			wait += 700 * time.Millisecond
 		}
+		if count+len(claims) > fewest { // it was given up for another
+			wait += 400 * time.Millisecond
+		}
 		if old || c.now-s.since >= wait {
 			claims = append(claims, i)
 		}
@@ -140,7 +149,7 @@
 			t.If = append(t.If, wire.Cond{Key: keyLeader, Mark: c.leader.mark})
 			t.Then = append(t.Then, wire.Write{Put: keyLeader, Value: c.heldValue(token), Lease: c.lease})
 		}
-	} else if ops == 0 && count > fair && c.now >= c.giveAt {
+	} else if ops == 0 && (count > fair || uneven) && c.now >= c.giveAt {
 		c.giveAt = c.now + 1500*time.Millisecond
 		if i := c.surplus(); i >= 0 {
 			t.If = append(t.If, wire.Cond{Key: shardKey(i), Mark: c.shards[i].mark})
@@ -224,7 +233,9 @@
 	}})
 }
 
-// pickShard is a shard for a new job: one held by this controller.
+// pickShard is a shard for a new job: one held by this controller if there is one. Else it is
+// another's: its holder learns of the job from the stream of changes and places its tasks. (A
+// controller that had just started, or that was one too many for the shards, refused users.)
 func (c *Core) pickShard() int {
 	var own []int
 	for i := range c.shards {
@@ -233,7 +244,7 @@
 		}
 	}
 	if len(own) == 0 {
-		return -1
+		return c.rng.IntN(len(c.shards))
 	}
 	return own[c.rng.IntN(len(own))]
 }
--- a/core/place.go
+++ b/core/place.go
@@ -354,7 +354,10 @@
 	} else if u > urgentAccept {
 		cost += writesKept
 	} else {
+		// It may overdraw: if the others leave nothing, the service says so, and soon after it is
+		// tried again.
 		b.waitedFor = true
+		cost -= c.cfg.WriteRPS / 2
 	}
 	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.writes < cost {
 		return false
@@ -384,7 +387,7 @@
 		return true
 	}
 	shard := p.rec.Shard
-	if !p.cancel || c.mineShard(shard) {
+	if !p.cancel && !p.accept || c.mineShard(shard) {
 		if b.shard == nil {
 			b.shard = map[int]bool{}
 		}
@@ -466,19 +469,15 @@
 func (c *Core) propose(j *job, b *builder) (p *proposal, again time.Duration) {
 	if j.mark == 0 {
 		s := c.pickShard()
-		if s < 0 {
-			c.settleAccept(j, 503, "no shard held yet")
-			return nil, 0
-		}
 		spec := j.accept.spec
 		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true}
 		// Its tasks are placed with the same write if that costs its user no time: a team's key may
 		// be locked, or written by others so often that the write fails.
-		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.now < j.accept.since+2*lockedAgain {
+		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.mineShard(s) && c.now < j.accept.since+2*lockedAgain {
 			return nil, c.now + lockedAgain
 		}
-		if !j.accept.failed {
+		if !j.accept.failed && c.mineShard(s) {
 			c.assign(p, b)
 		}
 		return p, 0
