--- a/core/core_test.go
+++ b/core/core_test.go
@@ -639,3 +639,28 @@
 		t.Error("a controller with three shards gives none to one without")
 	}
 }
+
+// Replicas went to whichever machine had most room, and after a busy start each of hundreds of
+// ordinary machines was kept by a few of them.
+func TestReplicasShareMachines(t *testing.T) {
+	c := leading(t)
+	c.cfg.HorizonStep = 10 * time.Second
+	in := submitted("wk-1")
+	in.Spec.Service = true
+	c.Handle(time.Second, in)
+	drive(c, time.Second, 2*time.Second)
+	if len(c.job("wk-1").place) != 1 {
+		t.Fatal("the first replica was not placed")
+	}
+	r := report(2)
+	r.Machine, r.Pieces = "m-2", nil
+	c.Handle(2*time.Second, Beat{Req: 10, Report: r})
+	drive(c, 2*time.Second, 3*time.Second)
+	in = submitted("wk-2")
+	in.Spec.Service = true
+	c.Handle(3*time.Second, in)
+	drive(c, 3*time.Second, 4*time.Second)
+	if p := c.job("wk-2").place; len(p) != 1 || c.machines[p[0].machine].name != "m-1" {
+		t.Errorf("the second replica is on %v, an empty machine next to the first one's", p)
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -681,7 +681,10 @@
 			t += 100
 		}
 		// A machine is paid for until its last task ends: a task that ends before costs nothing.
-		if c.cfg.HorizonStep > 0 && !s.Service && est > h {
+		// A replica stays for good: on a machine that has none, it would keep it for itself alone.
+		if c.cfg.HorizonStep > 0 && s.Service && h < forever {
+			t += 90
+		} else if c.cfg.HorizonStep > 0 && est > h {
 			t += int(min(90, (est-h)/c.cfg.HorizonStep))
 		}
 		return t
