Lost replicas are written first; tasks of a lost zone's jobs share writes

One controller was left, all its changes were used (18 a second, the 0.6 that one controller might use of 30), jobs took a write for each return of 100 machines, and the replicas' jobs, not yet written as waiting, came after all that were.

Ruled out: room (up to 168 empty machines) and the cloud's calls.

--- a/core/core.go
+++ b/core/core.go
@@ -130,6 +130,7 @@
 	errs     int
 	backoff  time.Duration
 	pending  bool  // has tasks to place
+	lost     bool  // tasks of it are gone, and must be started again
 	placedMS int64 // time of day when tasks of it were placed last
 }
 
@@ -753,6 +754,7 @@
 			tm.gpu += claim[1]
 		}
 	}
+	j.lost = false
 	j.pending = r.Stage == stQueued && r.Spec != nil && r.Done.count()+len(place) < r.Spec.Tasks
 	c.touch(j)
 	c.room = c.room || len(place) < len(old)
@@ -841,7 +843,7 @@
 	if r.Session > m.session {
 		m.images = map[string]bool{}
 	}
-	fresh, renewed := !m.up, m.session != r.Session
+	fresh, renewed := !m.up, m.up && m.session != r.Session
 	m.up = true
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	m.session = r.Session
@@ -897,12 +899,13 @@
 	m.pieces = next
 	c.signOfLife(m, r.Seq, r.Token)
 	c.changedOn(m)
-	if fresh || renewed {
+	if renewed {
+		c.lostTasks(m)
+	}
+	if fresh {
 		for _, a := range m.sortedTasks() {
 			c.touch(c.jobs[a.job])
 		}
-	}
-	if fresh {
 		c.room = true
 	}
 	if direct {
@@ -982,14 +985,30 @@
 	}
 	m.gone = true
 	c.copy.Drop(m.idx)
-	for _, a := range m.sortedTasks() {
-		c.touch(c.jobs[a.job])
-	}
+	c.lostTasks(m)
 	if c.lead != nil {
 		c.lead.array.Remove(m.idx)
 	}
 }
 
+// lostTasks has the jobs looked at whose tasks were lost with a machine or its session. The
+// machines of a lost zone go one after the other: a job of many tasks waits a moment for the
+// others, as it would take a write for each; replicas do not wait.
+func (c *Core) lostTasks(m *machine) {
+	for _, a := range m.sortedTasks() {
+		j := c.jobs[a.job]
+		j.lost = true
+		if j.dirty || j.rec == nil || j.rec.Spec == nil || j.rec.Spec.Service || j.final() {
+			c.touch(j)
+			continue
+		}
+		c.touchLater(j)
+		j.lookAt = max(j.lookAt, c.now+lostWait)
+	}
+}
+
+const lostWait = 700 * time.Millisecond
+
 // sortedTasks lists a machine's assignments in a fixed order.
 func (m *machine) sortedTasks() []asg2 {
 	out := make([]asg2, 0, len(m.asg))
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -664,3 +664,19 @@
 		t.Errorf("the second replica is on %v, an empty machine next to the first one's", p)
 	}
 }
+
+// After a zone was lost, the writes of its replicas waited behind those of all jobs that waited
+// for room: only a job whose loss was written counted as one with tasks to place.
+func TestLostReplicaIsAsUrgentAsAWaitingOne(t *testing.T) {
+	c := leading(t)
+	in := submitted("wk-1")
+	in.Spec.Service = true
+	c.Handle(time.Second, in)
+	drive(c, time.Second, 2*time.Second)
+	j := c.job("wk-1")
+	before := c.urgency(j)
+	c.markGone(c.machine("m-1"))
+	if got := c.urgency(j); got >= before || !j.dirty || j.lookAt > c.now {
+		t.Errorf("urgency %d before, %d after the loss; looked at %v later", before, got, j.lookAt-c.now)
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -296,7 +296,7 @@
 		return 0
 	case j.accept != nil:
 		return urgentAccept
-	case j.pending:
+	case j.pending || j.lost:
 		return 2
 	}
 	return 3
