--- a/core/place.go
+++ b/core/place.go
@@ -266,6 +266,17 @@
 	if c.now < hold || inflight >= most || !c.leaseOK() || len(todo) == 0 || c.reads < reads {
 		return
 	}
+	// A team's key is one more change for each transaction. Where changes are few and many jobs
+	// wait, they are placed together.
+	many := 0
+	for _, j := range todo {
+		if c.urgency(j) == 2 && c.teamOf(j.rec.Spec) != nil && c.teamOf(j.rec.Spec).limited() {
+			many++
+		}
+	}
+	if most == 3 && many >= gatherMany && c.writes < 0.7*max(c.writeRate, float64(c.cfg.TxnOps)) {
+		return
+	}
 	// Ends of tasks share writes: the more jobs run, the longer they wait for others.
 	running := 0
 	for _, j := range c.open {
@@ -289,6 +300,8 @@
 	b.flush()
 }
 
+const gatherMany = 4 // jobs that wait, from which they are placed together
+
 // urgency orders writes: cancellations, then acceptances, then placements, then completions.
 func (c *Core) urgency(j *job) int {
 	switch {
