--- a/controller.go
+++ b/controller.go
@@ -68,7 +68,7 @@
 		WatchGap: ms(t.GetWatchGapMs()), ReadGap: ms(t.GetBarrierGapMs()),
 		StateRPS: k.State.RPS, WriteRPS: k.State.WriteRPS, WriteShare: t.GetWriteShare(),
 		ValueBytes: int(k.State.ValueKB * 1024), TxnOps: k.State.TxnOps,
-		CloudRPS: max(1, k.Cloud.RPS*0.75), ListLag: sec(k.Cloud.ListLagS),
+		CloudRPS: max(1, k.Cloud.RPS*0.9), ListLag: sec(k.Cloud.ListLagS),
 		ReportEvery: sec(k.Workers.ReportS), WorkerLease: sec(k.Workers.LeaseS), CancelIn: sec(k.Workers.CancelS),
 		DeltaEvery: ms(t.GetDeltaMs()), PushEvery: ms(t.GetPushMs()), CopyExpire: ms(t.GetExpireMs()),
 		ProbeRatio: t.GetProbeRatio(), RandomFill: t.GetRandomFill(), PreferImage: t.GetPreferImage(),
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -680,3 +680,26 @@
 		t.Errorf("urgency %d before, %d after the loss; looked at %v later", before, got, j.lookAt-c.now)
 	}
 }
+
+// Several of the cloud's few calls a second asked for one kind of machine at a time, and when it
+// was used up, all of them were in vain.
+func TestEachKindIsAskedForBeforeAnyTwice(t *testing.T) {
+	c := leading(t)
+	c.catalog["x"].Zones = []string{"a", "b", "c", "d"}
+	in := submitted("wk-1")
+	in.Spec.Tasks, in.Spec.Claim = 400, [3]int64{4000, 0, 1000} // a machine each
+	c.Handle(time.Second, in)
+	drive(c, time.Second, 3*time.Second)
+	c.lead.blocked = map[pool]time.Duration{}
+	c.lead.planAt = 0
+	c.lead.calls = 4
+	zones := map[string]int{}
+	for _, o := range outputs[CloudOp](c.Advance(5 * time.Second)) {
+		if o.Op == "rent" {
+			zones[o.Rent.Zone]++
+		}
+	}
+	if len(zones) < 3 || zones["a"] > 1 {
+		t.Errorf("asked for machines in %v", zones)
+	}
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -577,6 +577,8 @@
 	})
 }
 
+const rentMost = 50 // machines that the cloud rents with one call
+
 // bin is room that is there or on its way.
 type bin struct {
 	m       *machine
@@ -665,13 +667,19 @@
 	}
 	bins = h.bins
 	slices.SortStableFunc(pools, func(x, y pool) int { return order[y] - order[x] })
-	for _, p := range pools {
-		for n := order[p]; n > 0; {
-			k := min(n, 50)
-			n -= k
+	// The first request for each kind comes before the second for any: a kind that is used up shows
+	// with one of the few calls, not with several.
+	for round, more := 0, true; more; round++ {
+		more = false
+		for _, p := range pools {
+			n := min(order[p]-round*rentMost, rentMost)
+			if n <= 0 {
+				continue
+			}
+			more = true
 			l.hires++
 			name := fmt.Sprintf("h-%d-%s-%06d", l.token, c.cfg.Name, l.hires)
-			l.rentals[name] = &rental{req: wire.RentRequest{Name: name, Type: p.typ, Zone: p.zone, Spot: p.spot, Count: k}}
+			l.rentals[name] = &rental{req: wire.RentRequest{Name: name, Type: p.typ, Zone: p.zone, Spot: p.spot, Count: n}}
 		}
 	}
 	c.planNote(bins, needs)
