--- a/core/core.go
+++ b/core/core.go
@@ -273,6 +273,7 @@
 // Stats counts what the log reports at a modest rate.
 type Stats struct {
 	Accepted, Starts, Refusals, Commits, Conflicts, Unknown uint64
+	Looks                                                   uint64 // at what a machine must be told
 }
 
 // send is a request with orders on its way; one that another controller passes on has a time
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -703,3 +703,53 @@
 		t.Errorf("asked for machines in %v", zones)
 	}
 }
+
+// What a second of a controller does must follow what happened, not the size of the fleet: at a
+// thousand machines, walking and sending everything took all of a quarter of a core.
+func TestWorkDoesNotGrowWithTheFleet(t *testing.T) {
+	type work struct{ looks, rows, reports, heard int }
+	second := func(n int) (w work) {
+		c := leading(t)
+		say := func(now time.Duration, seq uint64, i int, pieces ...wire.Piece) {
+			r := report(seq, pieces...)
+			r.Machine = wire.TaskName("m", i)
+			c.Handle(now, Beat{Req: 1, Report: r})
+		}
+		seq := uint64(1)
+		for now := time.Second; now < 10*time.Second; now += time.Second {
+			seq++
+			c.Handle(now, Beat{Req: 1, Report: report(seq)})
+			for i := range n {
+				say(now, seq, i)
+			}
+			drive(c, now, now+time.Second)
+		}
+		c.lead.fullAt = time.Hour // the whole array is not due
+		looks := c.Stats.Looks
+		for i := range n {
+			say(10*time.Second, 20, i)
+		}
+		say(10*time.Second, 21, 0, wire.Piece{Piece: "wk-1/0", Try: 1, Stage: wire.TaskRunning})
+		in := submitted("wk-2")
+		in.Spec.Tasks = 3
+		c.Handle(10*time.Second, in)
+		msgs, _ := drive(c, 10*time.Second, 11*time.Second)
+		for _, m := range msgs {
+			w.reports += len(m.Reports)
+			w.heard += len(m.Heard)
+			if m.Push != nil {
+				w.rows += len(m.Push.Rows)
+			}
+		}
+		w.looks = int(c.Stats.Looks - looks)
+		return w
+	}
+	small, large := second(20), second(1000)
+	// Peers get each message once: two of them.
+	if small.reports != 2 || large.reports != 2 || small.heard != 2*20 || large.heard != 2*1000 {
+		t.Errorf("reports: %+v and %+v", small, large)
+	}
+	if large.looks > small.looks+5 || large.rows > small.rows+10 || small.rows == 0 || small.looks == 0 {
+		t.Errorf("20 machines: %+v, 1000 machines: %+v", small, large)
+	}
+}
--- a/core/orders.go
+++ b/core/orders.go
@@ -24,6 +24,7 @@
 		}
 		m.touched = false
 		m.probed = c.now
+		c.Stats.Looks++
 		open := c.orderMachine(m)
 		m.hot = open || m.send != 0
 		return !m.hot
