A flood of submissions is refused at once beyond what can be written in time

Cause: submissions beyond the change budget were kept for 1.5 s and then refused, and each left a job in memory. Now those that could not be written in that time get 503 with Retry-After at once, and leave nothing.

--- a/core/core.go
+++ b/core/core.go
@@ -178,6 +178,7 @@
 	out  []Output
 	ids  uint64
 
+	accepting  int // submissions whose write is waited for
 	machineIdx map[string]int32
 	machines   []*machine
 	jobIdx     map[string]int32
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -753,3 +754,30 @@
 		t.Errorf("20 machines: %+v, 1000 machines: %+v", small, large)
 	}
 }
+
+// A flood of submissions, more than can be written in time: the rest is refused at once and
+// told when to come back, and nothing of it stays.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	c := serving(t)
+	c.cfg.WriteRPS = 20
+	for i := range 500 {
+		in := submitted("wk-" + strconv.Itoa(i))
+		in.Req = uint64(i)
+		c.Handle(1100*time.Millisecond, in)
+	}
+	refused := 0
+	for _, r := range outputs[Reply](c.Advance(1100 * time.Millisecond)) {
+		if r.Status != 503 || r.RetryAfter == 0 {
+			t.Fatalf("got %+v", r)
+		}
+		refused++
+	}
+	if refused != 470 || len(c.jobs) != 30 {
+		t.Errorf("%d of 500 refused at once, %d jobs kept", refused, len(c.jobs))
+	}
+	// Those whose write has not been sent are refused in time; the others wait for its outcome.
+	late := len(outputs[Reply](c.Advance(3 * time.Second)))
+	if late == 0 || late+c.accepting != 30 {
+		t.Errorf("%d refused late, %d still wait, of 30", late, c.accepting)
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -151,6 +151,7 @@
 func (c *Core) settleAcceptKnown(j *job) {
 	a := j.accept
 	j.accept = nil
+	c.accepting--
 	for _, r := range a.reqs {
 		c.reply(r, 200, c.state(j))
 	}
--- a/core/users.go
+++ b/core/users.go
@@ -118,16 +118,24 @@
 			}
 		})
 	default:
+		// More than the state service takes until they would be refused are refused at once.
+		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.cfg.WriteRPS*acceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
+			c.refuse(in.Req, "too busy")
+			return
+		}
 		j := c.job(in.ID)
 		if j.accept != nil {
 			j.accept.reqs = append(j.accept.reqs, in.Req)
 			return
 		}
-		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + 1500*time.Millisecond}
+		c.accepting++
+		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + acceptWait}
 		c.touch(j)
 	}
 }
 
+const acceptWait = 1500 * time.Millisecond // for the write of a submission or cancellation
+
 // repeat answers the submission of a job that is known.
 func (c *Core) repeat(req uint64, j *job) {
 	if j.final() {
@@ -195,10 +203,11 @@
 // settleAccept answers all who wait for a job's acceptance.
 func (c *Core) settleAccept(j *job, status int, why string) {
 	a := j.accept
-	j.accept = nil
 	if a == nil {
 		return
 	}
+	j.accept = nil
+	c.accepting--
 	for i, req := range a.reqs {
 		switch {
 		case status == 201 && i > 0:
@@ -254,7 +263,7 @@
 	}
 	j.cancels = append(j.cancels, in.Req)
 	j.cancelMS = in.UnixMS
-	j.cancelBy = c.now + 1500*time.Millisecond
+	j.cancelBy = c.now + acceptWait
 	c.touch(j)
 }
 
