--- a/settings/settings.go
+++ b/settings/settings.go
@@ -149,11 +149,11 @@
 func Defaults() *pb.Tuning {
 	return &pb.Tuning{
 		LeaseMs: ptr(uint32(4000)), Shards: ptr(uint32(12)), WatchGapMs: ptr(uint32(150)), BarrierGapMs: ptr(uint32(200)),
-		WriteShare: ptr(0.95), DeltaMs: ptr(uint32(5000)), PushMs: ptr(uint32(10000)), ExpireMs: ptr(uint32(30000)),
+		WriteShare: ptr(0.95), DeltaMs: ptr(uint32(50)), PushMs: ptr(uint32(500)), ExpireMs: ptr(uint32(30000)),
 		ProbeRatio: ptr(2.0), RandomFill: ptr(false), PreferImage: ptr(true), PreferSpot: ptr(true), HorizonMs: ptr(uint32(10000)),
 		SpareShare: ptr(0.25), SpareService: ptr(0.2), SpareDeviations: ptr(1.0), IdleBoots: ptr(0.0), SoonBoots: ptr(1.0), IdleMs: ptr(uint32(4000)), SilentMs: ptr(uint32(2500)), BootPatience: ptr(3.0),
 		SettleMs: ptr(uint32(300)), CancelShare: ptr(0.35),
-		WholePushMs: ptr(uint32(10000)), PushGapMs: ptr(uint32(10000)), OrderAgainMs: ptr(uint32(1000)), ClearMs: ptr(uint32(2000)), PassMs: ptr(uint32(3000)),
+		WholePushMs: ptr(uint32(10000)), PushGapMs: ptr(uint32(100)), OrderAgainMs: ptr(uint32(1000)), ClearMs: ptr(uint32(2000)), PassMs: ptr(uint32(3000)),
 		LinkLostMs: ptr(uint32(1500)), RoomAgainMs: ptr(uint32(4000)), ListMs: ptr(uint32(2500)), SettleMostMs: ptr(uint32(2000)),
 	}
 }
