--- a/core/core.go
+++ b/core/core.go
@@ -234,26 +234,27 @@
 	holdUntil  time.Duration // after a 429
 	holdUrgent time.Duration // the same for what users wait for
 
-	copy     ccs.Copy
-	copyRev  uint64 // revision and leader of the last push taken
-	copyTok  uint64
-	copyAcks map[string]uint64 // what it had counted
-	resendAt time.Duration
-	hold     *Hold    // as the leader told with the last push
-	noRoom   []noRoom // claims that found no room since some became free
-	reports  []*wire.Report
-	heardOf  []Heard
-	wanted   map[string][]string // by controller: machines whose reports it has and this one lacks
-	deltas   []DeltaMsg
-	batches  map[string][]deltaBatch // of each controller, not yet counted by the leader
-	batchSeq uint64
-	deltaAt  time.Duration
-	healthAt time.Duration
-	placeAt  time.Duration
-	sweepAt  time.Duration
-	drainAt  time.Duration
-	room     bool // room may have become free
-	askAt    time.Duration
+	copy      ccs.Copy
+	copyRev   uint64 // revision and leader of the last push taken
+	copyTok   uint64
+	copyAcks  map[string]uint64 // what it had counted
+	resendAt  time.Duration
+	hold      *Hold    // as the leader told with the last push
+	noRoom    []noRoom // claims that found no room since some became free
+	reports   []*wire.Report
+	heardOf   []Heard
+	wanted    map[string][]string // by controller: machines whose reports it has and this one lacks
+	deltas    []DeltaMsg
+	batches   map[string][]deltaBatch // of each controller, not yet counted by the leader
+	batchSeq  uint64
+	deltaAt   time.Duration
+	healthAt  time.Duration
+	placeAt   time.Duration
+	sweepAt   time.Duration
+	lookAllAt time.Duration
+	drainAt   time.Duration
+	room      bool // room may have become free
+	askAt     time.Duration
 
 	catalog   map[string]*wire.MachineType
 	types     []string // its names, sorted
@@ -482,8 +483,21 @@
 		return over
 	})
 	c.alive = slices.DeleteFunc(c.alive, func(m *machine) bool { return m.gone && len(m.asg) == 0 })
+	// Only what changed is looked at otherwise; now and then everything is, as a safeguard against
+	// a change that nobody noted.
+	if c.loaded && c.now >= c.lookAllAt {
+		c.lookAllAt = c.now + lookAll
+		for _, j := range c.open {
+			c.touchLater(j)
+		}
+		for _, m := range c.alive {
+			c.touchMachine(m)
+		}
+	}
 }
 
+const lookAll = 20 * time.Second // between two looks at everything
+
 // follow keeps the replica current: first all keys, then a watch, and barriers when asked.
 func (c *Core) follow() {
 	if !c.loaded {
