Tried and reverted: a zone of which nothing is heard is held from the first machine on

There a zone of ten machines that report every 3 s is sometimes quiet for 1.5 s by chance, and nothing was rented in it for 3 s each time.

--- a/core/lead.go
+++ b/core/lead.go
@@ -437,23 +437,19 @@
 // and those whose notice runs out.
 func (c *Core) watchMachines() {
 	l := c.lead
-	type count struct {
-		up, silent int
-		least      time.Duration // since any of them was heard
-	}
-	zones, all := map[string]*count{}, &count{least: forever}
+	type count struct{ up, silent int }
+	zones, all := map[string]*count{}, &count{}
 	for _, m := range c.alive {
 		if m.gone || !m.up {
 			continue
 		}
 		z := zones[m.zone]
 		if z == nil {
-			z = &count{least: forever}
+			z = &count{}
 			zones[m.zone] = z
 		}
 		for _, n := range []*count{z, all} {
 			n.up++
-			n.least = min(n.least, c.now-m.heard)
 			if c.now-m.heard > c.silent()*4/5 {
 				n.silent++
 			}
@@ -462,10 +458,7 @@
 	// If most are silent at once, it is rather this controller that does not hear.
 	deaf := all.silent*2 > all.up && all.silent > 1
 	for zone, n := range zones {
-		// Nothing at all from many machines, while others are heard, shows it before most are due:
-		// those that were quiet already when the zone was cut off were returned at once.
-		hushed := n.up >= hushMany && n.least > c.cfg.ReportEvery/2 && all.least < time.Second
-		if deaf || !hushed && (n.silent*2 <= n.up || n.silent < 3) {
+		if deaf || n.silent*2 <= n.up || n.silent < 3 {
 			delete(zones, zone)
 			continue
 		}
@@ -504,8 +497,6 @@
 	}
 }
 
-const hushMany = 10 // machines of a zone, of which some report at any time
-
 // cutPatience is how long the machines of a silent zone are kept. The zone may only be cut off:
 // its tasks run on until the workers' leases end. So others are rented first, and these are
 // returned when those should be up. When they were returned at once, all tasks there ended
