--- a/api/api_test.go
+++ b/api/api_test.go
@@ -1,13 +1,18 @@
 package api
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/gofiber/fiber/v3"
+
 	"dewlift/core"
 	"dewlift/wire"
 )
@@ -94,3 +99,36 @@
 		}
 	}
 }
+
+// A body over the limit is refused before anything of it is looked at.
+func TestOversizedBodyIsRefused(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := New(nil, nil).app()
+	done := make(chan error, 1)
+	go func() { done <- app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	conn, err := net.Dial("tcp4", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", wire.PathJobs, wire.MaxBody+1); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if err := app.Shutdown(); err != nil {
+		t.Error(err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
