--- a/core/place.go
+++ b/core/place.go
@@ -141,22 +141,13 @@
 			j.resync = false
 			c.touch(j)
 			if j.accept != nil && j.mark != 0 {
-				c.settleAcceptKnown(j)
+				c.settleAccept(j, 200, "")
 			}
 			c.settleCancels(j)
 		}
 	})
 }
 
-func (c *Core) settleAcceptKnown(j *job) {
-	a := j.accept
-	j.accept = nil
-	c.accepting--
-	for _, r := range a.reqs {
-		c.reply(r, 200, c.state(j))
-	}
-}
-
 // delta notes a start or finish for the leader; the own copy already shows starts. A start is
 // noted when its write is sent: the sooner the others know, the fewer choose the same room. If
 // the write fails, an end follows.
@@ -251,7 +242,7 @@
 			continue
 		}
 		if j.mark != 0 && j.accept != nil {
-			c.settleAcceptKnown(j)
+			c.settleAccept(j, 200, "")
 		}
 		if j.mark == 0 && j.accept == nil || j.mark != 0 && len(j.cancels) == 0 && !c.mine(j) {
 			j.dirty = false
--- /dev/null
+++ b/core/plan.go
@@ -0,0 +1,658 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"dewlift/ccs"
+	"dewlift/wire"
+)
+
+type pool struct {
+	typ  string
+	zone string
+	spot bool
+}
+
+type classStat struct {
+	spec   wire.Spec
+	tasks  float64       // mean size of its jobs
+	square float64       // mean square of it
+	gap    time.Duration // mean time between them
+	last   time.Duration
+	atMS   int64 // time of day of the last one's acceptance
+}
+
+// sawJob keeps the mean size of the jobs of a class, for spare room.
+func (c *Core) sawJob(r *record) {
+	if c.classes == nil {
+		c.classes = map[string]*classStat{}
+	}
+	key := r.Spec.Class
+	st := c.classes[key]
+	if st == nil {
+		st = &classStat{tasks: float64(r.Spec.Tasks), square: float64(r.Spec.Tasks) * float64(r.Spec.Tasks)}
+		c.classes[key] = st
+	}
+	st.square += (float64(r.Spec.Tasks)*float64(r.Spec.Tasks) - st.square) / 16
+	st.tasks += (float64(r.Spec.Tasks) - st.tasks) / 8
+	if at := time.Duration(r.AtMS-st.atMS) * time.Millisecond; st.atMS != 0 && at >= 0 {
+		st.gap += (at - st.gap) / 8
+	}
+	st.spec, st.last, st.atMS = *r.Spec, c.now, r.AtMS
+}
+
+const rentMost = 50 // machines that the cloud rents with one call
+
+// bin is room that is there or on its way.
+type bin struct {
+	m       *machine
+	pool    pool
+	avail   ccs.Vec
+	room    ccs.Vec
+	soon    ccs.Vec // room of tasks that should end before a new machine could be up
+	keep    ccs.Vec
+	horizon time.Duration // how long its tasks keep it
+	step    time.Duration // that, in steps of the setting
+	free    float64
+	stopped []asg2 // tasks that were told to make room
+	busy    bool   // it has tasks
+	used    bool   // a need was put into it
+}
+
+type need struct {
+	job     *job // nil for spare room
+	spec    *wire.Spec
+	n       int
+	zones   map[string]int
+	reserve bool
+	standby bool // the tasks still run, on machines that will probably be returned
+	prio    int
+	at      int64
+}
+
+func (n *need) rank() int {
+	switch {
+	case !n.reserve && !n.spec.Spot:
+		return 0
+	case n.reserve && !n.spec.Spot:
+		return 1
+	case !n.reserve:
+		return 2
+	}
+	return 3
+}
+
+func (b *bin) pricey() bool { return !b.pool.spot && b.horizon < forever }
+
+// plan compares the room with what the jobs need and decides what to rent and what to empty.
+func (c *Core) plan() {
+	l := c.lead
+	var bins []*bin
+	for _, m := range c.alive {
+		t := c.catalog[m.typ]
+		if m.gone || m.lead.why != "" || m.lead.cut || m.noticed > 0 || t == nil || m.faulty() {
+			continue
+		}
+		b := &bin{m: m, pool: pool{m.typ, m.zone, m.spot}, room: t.Room()}
+		if m.up {
+			b.avail = b.room.Add(c.occupied(m), -1)
+			b.soon = c.soonFree(m)
+			b.horizon = c.horizon(m)
+		} else {
+			age := c.now - max(m.first, m.lead.rented)
+			if age > times(c.boot(m.typ), 1.7)+2*time.Second {
+				continue // late: do not count on it
+			}
+			b.avail = b.room
+		}
+		b.busy = len(m.asg) > 0
+		bins = append(bins, b)
+	}
+	// What was not sent yet is planned anew, together with what came since: the calls are few, so
+	// each should ask for as many machines as are needed of a kind.
+	maps.DeleteFunc(l.rentals, func(_ string, r *rental) bool { return !r.sent })
+	for _, name := range sortedKeys(l.rentals) {
+		r := l.rentals[name]
+		if t := c.catalog[r.req.Type]; t != nil {
+			for i := 0; i < r.req.Count; i++ {
+				bins = append(bins, &bin{pool: pool{r.req.Type, r.req.Zone, r.req.Spot}, avail: t.Room(), room: t.Room()})
+			}
+		}
+	}
+	needs := c.needs()
+	order := map[pool]int{}
+	var pools []pool // in the order of urgency
+	h := c.newShelf(bins)
+	l.hold = nil
+	for _, n := range needs {
+		if c.fit(n, h, order, &pools) < n.n && !n.reserve && !n.standby && n.spec.Spot && n.spec.Types == nil && n.spec.Zone == "" {
+			l.hold = l.hold.with(n.prio, n.spec.Claim)
+		}
+	}
+	bins = h.bins
+	slices.SortStableFunc(pools, func(x, y pool) int { return order[y] - order[x] })
+	// The first request for each kind comes before the second for any: a kind that is used up shows
+	// with one of the few calls, not with several.
+	for round, more := 0, true; more; round++ {
+		more = false
+		for _, p := range pools {
+			n := min(order[p]-round*rentMost, rentMost)
+			if n <= 0 {
+				continue
+			}
+			more = true
+			l.hires++
+			name := fmt.Sprintf("h-%d-%s-%06d", l.token, c.cfg.Name, l.hires)
+			l.rentals[name] = &rental{req: wire.RentRequest{Name: name, Type: p.typ, Zone: p.zone, Spot: p.spot, Count: n}}
+		}
+	}
+	c.planNote(bins, needs)
+	// Machines that nothing needs are emptied and returned.
+	for _, b := range bins {
+		m := b.m
+		if m == nil || !m.up {
+			continue
+		}
+		m.lead.keep = b.keep
+		if len(m.asg) > 0 || c.busy(m) {
+			m.lead.emptyAt = 0
+		} else if m.lead.emptyAt == 0 {
+			m.lead.emptyAt = c.now
+		}
+		// Packing comes from what is offered: a machine that neither waiting work nor the
+		// spare room needs is offered last, so that it empties.
+		if m.lead.closed == b.used {
+			m.lead.closed = !b.used
+			l.pushNow = true
+		}
+		if b.used || m.lead.emptyAt == 0 {
+			if m.lead.cordon != 0 {
+				m.lead.cordon = 0
+				l.pushNow = true
+			}
+			continue
+		}
+		old := c.now-max(m.first, m.lead.rented) > 60*time.Second || m.lead.rented != 0 && c.now-m.lead.rented > 60*time.Second
+		if m.lead.cordon == 0 && c.now-m.lead.emptyAt >= c.idleFor(m) && old {
+			m.lead.cordon = c.now
+			l.pushNow = true
+		}
+		if m.lead.cordon != 0 && c.now-m.lead.cordon > 1500*time.Millisecond {
+			c.mustReturn(m, "idle")
+		}
+	}
+}
+
+// planNote logs the use of the machines at a modest rate.
+func (c *Core) planNote(bins []*bin, needs []need) {
+	l := c.lead
+	if c.now < l.noteAt {
+		return
+	}
+	l.noteAt = c.now + 10*time.Second
+	up, boot, closed, empty, waiting, reserve := 0, 0, 0, 0, 0, 0
+	var total, occ int64
+	for _, b := range bins {
+		switch {
+		case b.m == nil || !b.m.up:
+			boot++
+			continue
+		case b.m.lead.closed:
+			closed++
+		}
+		up++
+		if !b.busy {
+			empty++
+		}
+		total += b.room[0]
+		occ += c.occupied(b.m)[0]
+	}
+	for _, n := range needs {
+		if n.reserve {
+			reserve += n.n
+		} else {
+			waiting += n.n
+		}
+	}
+	c.note("info", "machines", "up", up, "booting", boot, "closed", closed, "empty", empty, "cpus", total/1000,
+		"used", occ/1000, "waiting", waiting, "reserve", reserve)
+}
+
+// idleFor is how long an empty machine is kept: the longer it took to boot, the longer.
+func (c *Core) idleFor(m *machine) time.Duration {
+	return c.cfg.Idle + times(c.boot(m.typ), c.cfg.IdleBoots)
+}
+
+func (c *Core) busy(m *machine) bool {
+	for _, p := range m.pieces {
+		if p.state != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+// spare is the number of tasks of a class that room is kept for: a share of those that run,
+// but no more than what jobs ask for beyond the mean until a new machine is up (so many standard
+// deviations of it; a large class varies less for its size), and at least a job of the usual
+// size; less and less once jobs have stopped coming.
+func (c *Core) spare(st *classStat, running int) float64 {
+	share := c.cfg.SpareShare
+	if st.spec.Service {
+		share = c.cfg.SpareService
+	}
+	n := share * float64(running)
+	if st.gap > 0 {
+		jobs := float64(c.bootTime(&st.spec)) / float64(st.gap)
+		n = min(n, c.cfg.SpareDev*math.Sqrt(jobs*st.square))
+	}
+	n = max(st.tasks, n)
+	if quiet := c.now - st.last; st.gap > 0 && quiet > 5*st.gap && quiet > 20*time.Second {
+		n *= float64(5*st.gap) / float64(quiet)
+	}
+	return n
+}
+
+// bootTime is how long it takes from a need to the room for it: renting, and the boot of the
+// quickest type.
+func (c *Core) bootTime(s *wire.Spec) time.Duration {
+	var quickest time.Duration
+	for _, name := range c.types {
+		if t := c.catalog[name]; c.typeAllowed(s, name) && ccs.Vec(t.Room()).Fits(s.Claim) && (quickest == 0 || c.boot(name) < quickest) {
+			quickest = c.boot(name)
+		}
+	}
+	return quickest + rentTime
+}
+
+// boot is the nominal boot time of a machine type; 0 if the type is not known.
+func (c *Core) boot(typ string) time.Duration {
+	t := c.catalog[typ]
+	if t == nil {
+		return 0
+	}
+	return time.Duration(t.BootS * float64(time.Second))
+}
+
+func times(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+// needs lists the tasks that wait, and the spare room for those to come.
+func (c *Core) needs() []need {
+	var out []need
+	running := map[string]int{}
+	left := map[*team][2]int64{}
+	for _, t := range c.teams {
+		left[t] = [2]int64{math.MaxInt64, math.MaxInt64}
+		u := left[t]
+		if t.CPUMax > 0 {
+			u[0] = t.CPUMax - t.cpu
+		}
+		if t.GPUMax > 0 {
+			u[1] = t.GPUMax - t.gpu
+		}
+		left[t] = u
+	}
+	for _, j := range c.open {
+		if j.rec == nil || j.rec.Spec == nil || j.final() {
+			continue
+		}
+		s := j.rec.Spec
+		running[s.Class] += len(j.place)
+		n := s.Tasks - j.rec.Done.count() - len(j.place)
+		cut := 0
+		zones := map[string]int{}
+		for _, a := range j.place {
+			if m := c.machines[a.machine]; m.lead.cut {
+				cut++
+			} else {
+				zones[m.zone]++
+			}
+		}
+		if n > 0 && c.now >= j.backoff {
+			out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: s.Priority, at: j.rec.AtMS})
+		}
+		if cut > 0 {
+			out = append(out, need{job: j, spec: s, n: cut, zones: zones, standby: true, prio: s.Priority, at: j.rec.AtMS})
+		}
+	}
+	for class, st := range c.classes {
+		if running[class] == 0 && c.now-st.last > 3*time.Minute {
+			continue
+		}
+		n := int(math.Ceil(c.spare(st, running[class])))
+		if n <= 0 {
+			continue
+		}
+		s := st.spec
+		s.Tasks = n
+		out = append(out, need{spec: &s, n: n, zones: map[string]int{}, reserve: true, prio: s.Priority})
+	}
+	slices.SortStableFunc(out, func(a, b need) int {
+		// Spare room for work that may not use spot machines comes before waiting work that
+		// may: that one would fill the few machines which the other can use.
+		if d := a.rank() - b.rank(); d != 0 {
+			return d
+		}
+		if d := a.prio - b.prio; d != 0 {
+			return d
+		}
+		if d := cmp.Compare(a.at, b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.spec.Class, b.spec.Class)
+	})
+	for i := range out {
+		n := &out[i]
+		t := c.teamOf(n.spec)
+		if t == nil || n.reserve || n.standby {
+			continue
+		}
+		u := left[t]
+		for k := 0; k < 2; k++ {
+			if n.spec.Claim[k] > 0 && u[k] != math.MaxInt64 {
+				n.n = min(n.n, int(max(0, u[k])/n.spec.Claim[k]))
+			}
+		}
+		for k := 0; k < 2; k++ {
+			if u[k] != math.MaxInt64 {
+				u[k] -= int64(n.n) * n.spec.Claim[k]
+			}
+		}
+		left[t] = u
+	}
+	return out
+}
+
+// soonFree is the room of tasks that should end, by their owners' estimates, within the boot
+// time of a machine like theirs.
+func (c *Core) soonFree(m *machine) ccs.Vec {
+	var v ccs.Vec
+	for k, a := range m.asg {
+		j := c.jobs[k.job]
+		p := m.pieces[attKey{k.job, k.task, a.try}]
+		if s := j.rec.Spec; s != nil && !s.Service && p.state == wire.TaskRunning {
+			left := time.Duration(s.EstimateMS)*time.Millisecond - (c.now - p.since)
+			if left < times(c.boot(m.typ), c.cfg.SoonBoots) && left > -time.Duration(s.EstimateMS)*time.Millisecond/4 {
+				v = v.Add(s.Claim, 1)
+			}
+		}
+	}
+	return v
+}
+
+// shelf is the room of a plan in the order in which needs fill it.
+type shelf struct {
+	bins  []*bin
+	order [2][]*bin // for work that may not use spot machines, and for work that may
+	have  map[pool]int
+	zone  map[string]int
+}
+
+// newShelf orders bins. Machines that stay longest are filled first, so that the others empty;
+// ordinary ones without services come last for work that may use spot machines.
+func (c *Core) newShelf(bins []*bin) *shelf {
+	h := &shelf{bins: bins, have: map[pool]int{}, zone: map[string]int{}}
+	for _, b := range bins {
+		h.have[b.pool]++
+		h.zone[b.pool.zone]++
+		r := ccs.Row{Avail: b.avail, Occ: b.room.Add(b.avail, -1)}
+		b.free = r.FreeShare()
+		if c.cfg.HorizonStep > 0 {
+			b.step = b.horizon / c.cfg.HorizonStep
+		}
+	}
+	flag := func(x bool) int {
+		if x {
+			return 1
+		}
+		return 0
+	}
+	for spot := range h.order {
+		for _, b := range bins {
+			if spot == 1 || !b.pool.spot {
+				h.order[spot] = append(h.order[spot], b)
+			}
+		}
+		slices.SortStableFunc(h.order[spot], func(x, y *bin) int {
+			if spot == 1 && x.pricey() != y.pricey() {
+				return flag(x.pricey()) - flag(y.pricey())
+			}
+			return cmp.Or(cmp.Compare(y.step, x.step), flag(y.busy)-flag(x.busy), cmp.Compare(x.free, y.free))
+		})
+	}
+	return h
+}
+
+// add puts a machine that is to be rented on the shelf.
+func (h *shelf) add(b *bin) {
+	h.bins = append(h.bins, b)
+	h.order[1] = append(h.order[1], b)
+	if !b.pool.spot {
+		h.order[0] = append(h.order[0], b)
+	}
+	h.have[b.pool]++
+	h.zone[b.pool.zone]++
+}
+
+// with is the hold with one more kind of task that waits for room.
+func (h *Hold) with(prio int, claim ccs.Vec) *Hold {
+	switch {
+	case h == nil || prio < h.Priority:
+		return &Hold{prio, claim}
+	case prio == h.Priority:
+		for i := range claim {
+			h.Claim[i] = min(h.Claim[i], claim[i])
+		}
+	}
+	return h
+}
+
+// fit puts a need on the shelf, and orders machines for what does not fit. It returns how many
+// tasks fit on machines that are up.
+func (c *Core) fit(n need, h *shelf, order map[pool]int, pools *[]pool) (now int) {
+	s := n.spec
+	limit := (s.Tasks + 1) / 2
+	room := func(zone string) int64 {
+		if !s.Spread {
+			return int64(n.n)
+		}
+		return int64(min(n.n, limit-n.zones[zone]))
+	}
+	put := func(b *bin) {
+		k := min(capacity(b.avail, s.Claim), room(b.pool.zone))
+		if k <= 0 {
+			return
+		}
+		b.avail = b.avail.Add(s.Claim, -k)
+		b.used = true
+		if !s.Spot {
+			b.keep = b.keep.Add(s.Claim, k)
+		}
+		n.n -= int(k)
+		n.zones[b.pool.zone] += int(k)
+		if b.m != nil && b.m.up {
+			now += int(k)
+		}
+	}
+	may := func(b *bin) bool {
+		return c.typeAllowed(s, b.pool.typ) && (s.Zone == "" || s.Zone == b.pool.zone) && (s.Spot || !b.pool.spot)
+	}
+	shelf := h.order[0]
+	if s.Spot {
+		shelf = h.order[1]
+	}
+	fill := func(when func(*bin) bool) {
+		for _, b := range shelf {
+			if n.n <= 0 {
+				return
+			}
+			if ccs.Vec(b.avail).Fits(s.Claim) && may(b) && when(b) {
+				put(b)
+			}
+		}
+	}
+	if !n.reserve && !n.standby && s.Service {
+		fill(func(b *bin) bool { return b.m != nil && b.m.up })
+		n.n -= c.makeRoom(n, h.bins, room)
+	}
+	fill(func(*bin) bool { return true })
+	if !n.reserve {
+		for _, b := range shelf {
+			if n.n <= 0 {
+				return now
+			}
+			if b.soon == (ccs.Vec{}) || !may(b) {
+				continue
+			}
+			if k := min(capacity(b.soon, s.Claim), room(b.pool.zone)); k > 0 {
+				b.soon = b.soon.Add(s.Claim, -k)
+				b.used = true
+				n.n -= int(k)
+				n.zones[b.pool.zone] += int(k)
+			}
+		}
+	}
+	for n.n > 0 {
+		p, ok := c.choosePool(s, n, room, h)
+		if !ok {
+			break
+		}
+		t := c.catalog[p.typ]
+		b := &bin{pool: p, avail: t.Room(), room: t.Room()}
+		if order[p] == 0 {
+			*pools = append(*pools, p)
+		}
+		order[p]++
+		h.add(b)
+		put(b)
+	}
+	return now
+}
+
+// makeRoom stops tasks of lower priority for replicas that find no room now: machines that
+// boot would come too late for them. It takes those with the least work to lose.
+func (c *Core) makeRoom(n need, bins []*bin, room func(string) int64) int {
+	l := c.lead
+	if at, ok := l.stopped[n.job.idx]; n.n <= 0 || ok && c.now-at < c.cfg.RoomAgain {
+		return max(0, n.n) // what was stopped is about to go
+	}
+	type place struct {
+		bin     *bin
+		victims []asg2
+		cost    time.Duration
+	}
+	var places []place
+	for _, b := range bins {
+		if b.m == nil || !b.m.up || !c.usable(b.m) || !c.allowed(n.spec, b.m) {
+			continue
+		}
+		if vs, cost, ok := c.victims(n, b); ok {
+			places = append(places, place{b, vs, cost})
+		}
+	}
+	slices.SortStableFunc(places, func(x, y place) int { return cmp.Compare(x.cost, y.cost) })
+	made := 0
+	for _, p := range places {
+		if made >= n.n {
+			break
+		}
+		b := p.bin
+		if n.spec.Spread && room(b.pool.zone) <= 0 {
+			continue
+		}
+		for _, v := range p.victims {
+			l.stops = append(l.stops, StopMsg{Machine: b.m.name, Job: c.jobs[v.job].id, Task: v.task, Try: v.try})
+			b.avail = b.avail.Add(c.jobs[v.job].rec.Spec.Claim, 1)
+			b.stopped = append(b.stopped, v)
+		}
+		for made < n.n && b.avail.Fits(n.spec.Claim) && room(b.pool.zone) > 0 {
+			b.avail = b.avail.Add(n.spec.Claim, -1)
+			b.keep = b.keep.Add(n.spec.Claim, 1)
+			n.zones[b.pool.zone]++
+			made++
+		}
+		b.used = true
+	}
+	if made > 0 {
+		l.stopped[n.job.idx] = c.now
+		l.pushNow = true
+		c.note("info", "making room", "job", n.job.id, "tasks", made)
+	}
+	return made
+}
+
+// victims chooses the tasks of a machine that must go for one task of a need.
+func (c *Core) victims(n need, b *bin) (vs []asg2, cost time.Duration, ok bool) {
+	var all []asg2
+	ran := func(v asg2) time.Duration { return c.now - b.m.pieces[attKey{v.job, v.task, v.try}].since }
+	for _, v := range b.m.sortedTasks() {
+		s := c.jobs[v.job].rec.Spec
+		p, there := b.m.pieces[attKey{v.job, v.task, v.try}]
+		if s != nil && there && !s.Service && s.Priority > n.prio && !slices.Contains(b.stopped, v) &&
+			(p.state == wire.TaskRunning || p.state == wire.TaskFetching) {
+			all = append(all, v)
+		}
+	}
+	slices.SortStableFunc(all, func(x, y asg2) int { return cmp.Compare(ran(x), ran(y)) })
+	free := b.avail
+	for _, v := range all {
+		if free.Fits(n.spec.Claim) {
+			break
+		}
+		free = free.Add(c.jobs[v.job].rec.Spec.Claim, 1)
+		cost += ran(v)
+		vs = append(vs, v)
+	}
+	return vs, cost, len(vs) > 0 && free.Fits(n.spec.Claim)
+}
+
+// choosePool is the cheapest kind of machine for the rest of a need, by price per task that
+// it takes, with regard to its boot time; among equals the zone with fewest machines.
+func (c *Core) choosePool(s *wire.Spec, n need, room func(string) int64, h *shelf) (pool, bool) {
+	var best pool
+	bestScore, found := 0.0, false
+	for _, name := range c.types {
+		t := c.catalog[name]
+		if !c.typeAllowed(s, name) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if s.Zone != "" && z != s.Zone {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				p := pool{name, z, spot}
+				if spot && (!s.Spot || t.SpotPrice <= 0) || c.now < c.lead.blocked[p] {
+					continue
+				}
+				if n.reserve && s.Spot && !spot {
+					continue // spare room for work that may use spot machines is worth only their price
+				}
+				k := min(capacity(t.Room(), s.Claim), room(z))
+				if k <= 0 {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				// Not all machines in one place: a kind counts as dearer the larger its share of
+				// the fleet is. By numbers, ordinary machines at 2.5 times the price were taken once a
+				// kind of spot machine counted 150.
+				all := float64(max(1, len(h.bins)))
+				score := price / float64(k) * (1 + t.BootS/120) * (1 + 0.4*float64(h.have[p])/all + 0.05*float64(h.zone[z])/all)
+				if !found || score < bestScore {
+					best, bestScore, found = p, score, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/core/users.go
+++ b/core/users.go
@@ -210,7 +210,7 @@
 	c.accepting--
 	for i, req := range a.reqs {
 		switch {
-		case status == 201 && i > 0:
+		case status == 200 || status == 201 && i > 0:
 			c.reply(req, 200, c.state(j))
 		case status == 201:
 			c.Stats.Accepted++
