--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -79,6 +80,12 @@
 			}
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "%s: %s, %d done, %d running\n", s.ID, s.Stage, s.Done, s.Running)
+			if s.AwaitsCount > 0 {
+				fmt.Fprintf(out, "  waits for %d jobs: %s\n", s.AwaitsCount, strings.Join(s.Awaits, " "))
+			}
+			if s.CancelledBy != "" {
+				fmt.Fprintf(out, "  cancelled with %s, which it needs\n", s.CancelledBy)
+			}
 			for _, w := range s.Reasons {
 				fmt.Fprintf(out, "  task %d stopped on %s at %s: %s\n", w.Task, w.Machine,
 					time.UnixMilli(w.AtMS).UTC().Format(time.RFC3339), w.Cause)
--- a/controller.go
+++ b/controller.go
@@ -63,11 +63,12 @@
 	k := &p.Cluster
 	ms := func(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
 	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+	now, next := &k.State, &k.State.Next
 	cfg := core.Config{
-		Name: p.Name, Zone: p.Zone, Lease: ms(t.GetLeaseMs()), Shards: int(t.GetShards()),
+		Form: core.Form, Name: p.Name, Zone: p.Zone, Lease: ms(t.GetLeaseMs()), Shards: int(t.GetShards()),
 		WatchGap: ms(t.GetWatchGapMs()), ReadGap: ms(t.GetBarrierGapMs()),
-		StateRPS: k.State.RPS, WriteRPS: k.State.WriteRPS, WriteShare: t.GetWriteShare(),
-		ValueBytes: int(k.State.ValueKB * 1024), TxnOps: k.State.TxnOps,
+		StateRPS: least(now.RPS, next.RPS), WriteRPS: now.WriteRPS, NextWriteRPS: least(now.WriteRPS, next.WriteRPS), WriteShare: t.GetWriteShare(),
+		ValueBytes: int(least(now.ValueKB, next.ValueKB) * 1024), TxnOps: least(now.TxnOps, next.TxnOps),
 		CloudRPS: max(1, k.Cloud.RPS*0.9), ListLag: sec(k.Cloud.ListLagS),
 		ReportEvery: sec(k.Workers.ReportS), WorkerLease: sec(k.Workers.LeaseS), CancelIn: sec(k.Workers.CancelS),
 		DeltaEvery: ms(t.GetDeltaMs()), PushEvery: ms(t.GetPushMs()), CopyExpire: ms(t.GetExpireMs()),
@@ -90,6 +91,14 @@
 	return cfg
 }
 
+// least is the smaller of a limit that is in force and one that will be, if that is known.
+func least[T int | float64](now T, next *T) T {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
+}
+
 // Put hands an input to the core.
 func (c *Controller) Put(in core.Input) bool {
 	select {
--- /dev/null
+++ b/core/awaits.go
@@ -0,0 +1,163 @@
+package core
+
+import (
+	"time"
+
+	"dewlift/wire"
+)
+
+// awaiting is what a job has to do with those that it awaits and those that await it. All of it
+// follows from the jobs' records: the index is kept in both directions, and what changes at a
+// job is passed on step by step, without recursion and without a walk of all jobs.
+type awaiting struct {
+	linked  bool
+	needs   []*job // jobs that it awaits, as its record names them
+	next    []*job // jobs that await it
+	waits   int    // those of needs that are not known to be done
+	cause   *job   // a cancelled job that it needs, directly or through others; nil: none
+	readyMS int64  // time of day since when it waits for nothing; 0: not known
+
+	// What is inherited from the jobs that need it orders the work. Limits, kinds of machines and
+	// preemption stay the job's own.
+	prio  int   // the most important of its priority and theirs
+	dueMS int64 // time of day by which it should be done, for all deadlines to be met; 0: none
+}
+
+// link notes what a job awaits, once, when its record is first seen with its description.
+func (c *Core) link(j *job) {
+	if j.linked || j.rec.Spec == nil {
+		return
+	}
+	j.linked = true
+	j.prio = j.rec.Spec.Priority
+	for _, id := range j.rec.Spec.Awaits {
+		o := c.job(id)
+		j.needs = append(j.needs, o)
+		if o.rec != nil && o.rec.Stage == stDone {
+			continue
+		}
+		j.waits++
+		if o.final() {
+			j.cause = o.root()
+			continue
+		}
+		o.next = append(o.next, j)
+	}
+	c.inherit([]*job{j})
+}
+
+// root is the job because of which one that is cancelled or needs a cancelled one has ended.
+func (j *job) root() *job {
+	if j.cause != nil {
+		return j.cause
+	}
+	return j
+}
+
+// over passes on that a job has ended: those that await it wait for one job less, or are
+// cancelled with it.
+func (c *Core) over(j *job) {
+	next := j.next
+	j.next = nil
+	if j.rec.Stage == stDone {
+		for _, n := range next {
+			if n.waits--; n.waits == 0 && !n.final() {
+				n.readyMS = c.unixMS()
+				n.pending = true
+				c.touch(n)
+			}
+		}
+	} else {
+		for list := next; len(list) > 0; {
+			n := list[len(list)-1]
+			list = list[:len(list)-1]
+			if n.final() {
+				continue
+			}
+			n.cause, n.pending = j.root(), false
+			c.touch(n)
+			c.settleCancels(n)
+			list = append(list, n.next...)
+			c.inherit(n.needs)
+			n.next, n.needs = nil, nil
+		}
+	}
+	c.inherit(j.needs)
+	j.needs = nil
+}
+
+// inherit works out anew what jobs inherit from those that need them, and passes changes on.
+func (c *Core) inherit(list []*job) {
+	for len(list) > 0 {
+		j := list[0]
+		list = list[1:]
+		if j.rec == nil || j.rec.Spec == nil || j.final() {
+			continue
+		}
+		s := j.rec.Spec
+		prio, due := s.Priority, int64(0)
+		if s.DeadlineMS > 0 {
+			due = j.rec.AtMS + s.DeadlineMS
+		}
+		for _, n := range j.next {
+			prio = min(prio, n.prio)
+			if n.dueMS == 0 {
+				continue
+			}
+			if by := n.dueMS - n.rec.Spec.EstimateMS; due == 0 || by < due {
+				due = by
+			}
+		}
+		if prio == j.prio && due == j.dueMS {
+			continue
+		}
+		j.prio, j.dueMS = prio, due
+		list = append(list, j.needs...)
+	}
+}
+
+// turn is the time of day that orders a job among others of its priority: since when it could
+// run, or when it must run to be done in time, if that is earlier.
+func (j *job) turn() int64 {
+	at := max(j.rec.AtMS, j.readyMS)
+	if j.dueMS != 0 {
+		at = min(at, j.dueMS-j.rec.Spec.EstimateMS)
+	}
+	return at
+}
+
+// unmet lists the jobs that a description names and that are not done; unknown is one that was
+// never accepted, as far as is known here, and cancelled one that is cancelled.
+func (c *Core) unmet(s *wire.Spec) (left []string, unknown string, cancelled *job) {
+	for _, id := range s.Awaits {
+		o := c.knownJob(id)
+		switch {
+		case o == nil:
+			unknown = id
+		case o.rec.Stage == stDone:
+		case o.final():
+			cancelled = o.root()
+			left = append(left, id)
+		default:
+			left = append(left, id)
+		}
+	}
+	return left, unknown, cancelled
+}
+
+// readyIn is when a job that waits should be ready, by its owners' estimates, if that can be told:
+// all jobs that it needs have started all their tasks.
+func (c *Core) readyIn(j *job) (in time.Duration, ok bool) {
+	for _, o := range j.needs {
+		if o.rec == nil || o.rec.Stage == stDone {
+			continue
+		}
+		if o.rec.Spec == nil || o.waits > 0 || o.final() || o.rec.Done.count()+len(o.place) < o.rec.Spec.Tasks {
+			return 0, false
+		}
+		for _, a := range o.place {
+			in = max(in, c.leftOf(o, c.machines[a.machine], a))
+		}
+	}
+	return in, true
+}
--- a/core/core.go
+++ b/core/core.go
@@ -129,9 +129,15 @@
 	cancelBy time.Duration // until when an answer must be given
 	errs     int
 	backoff  time.Duration
-	pending  bool  // has tasks to place
+	pending  bool  // has tasks to place now
 	lost     bool  // tasks of it are gone, and must be started again
 	placedMS int64 // time of day when tasks of it were placed last
+	size     int   // of its record, as it is stored
+
+	cancelMark uint64 // of the mark of its cancellation; 0: there is none
+	markedMS   int64
+
+	awaiting // see awaits.go
 }
 
 type accept struct {
@@ -201,6 +207,12 @@
 	leader  held
 	nodes   map[string]held
 
+	forms     map[string]int // what each controller declared
+	formNow   int
+	formMark  uint64 // of this controller's declaration
+	declaring bool
+	declareAt time.Duration
+
 	watching  bool
 	watchAt   time.Duration
 	waiting   []func(ok bool) // for the next read barrier
@@ -301,7 +313,7 @@
 func New(cfg Config, now time.Duration, seed uint64) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
-		shards: make([]held, cfg.Shards), nodes: map[string]held{}, txns: map[uint64]*txn{},
+		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
 		settle: cfg.Settle}
 	c.copy.Expire = cfg.CopyExpire
@@ -458,6 +470,7 @@
 	c.tellHealth()
 	if c.loaded {
 		c.own()
+		c.declare()
 		c.place()
 		c.leadStep()
 		c.drain()
@@ -476,7 +489,9 @@
 	}
 	c.sweepAt = c.now + time.Second
 	c.open = slices.DeleteFunc(c.open, func(j *job) bool {
-		over := !j.dirty && !j.inflight && j.accept == nil && len(j.cancels) == 0 && (j.rec == nil || j.rec.Spec == nil)
+		// What waits for other jobs is touched when they are over.
+		over := !j.dirty && !j.inflight && j.accept == nil && len(j.cancels) == 0 &&
+			(j.rec == nil || j.rec.Spec == nil || j.waits > 0 && j.cause == nil && len(j.place) == 0)
 		if over {
 			j.listed = false
 		}
@@ -530,15 +545,16 @@
 	if len(c.nodes) == 0 {
 		live = float64(len(c.cfg.Peers) + 1)
 	}
-	left := 0.9 * c.cfg.WriteRPS
+	all := c.writeRPS()
+	left := 0.9 * all
 	for _, n := range c.cfg.Peers {
 		if c.linked(n) {
 			left -= c.peers[n].used
 		} else if _, ok := c.nodes[n]; ok {
-			left -= c.cfg.WriteRPS / live
+			left -= all / live
 		}
 	}
-	c.writeRate = min(max(c.cfg.WriteRPS/live, left), c.cfg.WriteRPS*c.cfg.WriteShare)
+	c.writeRate = min(max(all/live, left), all*c.cfg.WriteShare)
 	c.readRate = c.cfg.StateRPS / live
 }
 
@@ -685,8 +701,8 @@
 			c.gained(n)
 		}
 	case key == keyTypes:
-		var v wire.Catalog
-		if err := json.Unmarshal(raw, &v); err != nil {
+		v, err := decodeCatalog(raw)
+		if err != nil {
 			bad(err)
 			return
 		}
@@ -708,7 +724,11 @@
 			bad(err)
 			return
 		}
-		c.adopt(j, r, c.unpack(r), mark)
+		c.adopt(j, r, c.unpack(r), mark, len(raw))
+	case strings.HasPrefix(key, keyForm):
+		bad(c.putForm(key, raw, mark))
+	case strings.HasPrefix(key, keyCancel):
+		bad(c.putCancel(key, raw, mark))
 	}
 }
 
@@ -734,9 +754,12 @@
 	}
 }
 
-// adopt makes a committed record the known state of a job.
-func (c *Core) adopt(j *job, r *record, place []asg, mark uint64) {
-	old := j.place
+// adopt makes a committed record of a size the known state of a job.
+func (c *Core) adopt(j *job, r *record, place []asg, mark uint64, size int) {
+	old, was := j.place, j.final()
+	if j.cancelMark != 0 && r.Stage == stQueued {
+		r.Stage, r.CancelMS = stCancelled, j.markedMS
+	}
 	tm, claim := c.claimOf(j)
 	for _, a := range old {
 		m := c.machines[a.machine]
@@ -752,10 +775,11 @@
 	if j.mark == 0 && r.Spec != nil {
 		c.sawJob(r)
 	}
-	j.rec, j.place, j.mark = r, place, mark
+	j.rec, j.place, j.mark, j.size = r, place, mark, size
 	if r.Spec != nil {
 		r.Spec.ID = j.id
 	}
+	c.link(j)
 	tm, claim = c.claimOf(j)
 	j.ended = 0
 	for _, a := range place {
@@ -771,9 +795,12 @@
 		}
 	}
 	j.lost = false
-	j.pending = r.Stage == stQueued && r.Spec != nil && r.Done.count()+len(place) < r.Spec.Tasks
+	j.pending = !j.final() && r.Spec != nil && j.waits == 0 && r.Done.count()+len(place) < r.Spec.Tasks
 	c.touch(j)
 	c.room = c.room || len(place) < len(old)
+	if j.final() && !was {
+		c.over(j)
+	}
 }
 
 func (c *Core) claimOf(j *job) (*team, ccs.Vec) {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -109,7 +109,7 @@
 					continue
 				}
 				rec.Done = rec.Done.add(int(a.task))
-				if raw, err := c.encode(rec, append(slices.Clone(odd), p.place[i+1:]...)); err != nil || len(raw) > c.cfg.ValueBytes {
+				if raw, err := c.encode(rec, append(slices.Clone(odd), p.place[i+1:]...), false); err != nil || len(raw) > c.cfg.ValueBytes {
 					t.Fatalf("round %d: %d bytes, at most %d fit (%v)", round, len(raw), c.cfg.ValueBytes, err)
 				}
 			}
--- /dev/null
+++ b/core/form.go
@@ -0,0 +1,156 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"dewlift/wire"
+)
+
+// Two versions of this program may run at once, while one replaces the other process by process,
+// and both read what either stores. A form is a way of storing and telling things. Each
+// controller declares the newest form that it knows, once and for ever, under a key of its own:
+// a process that ran a version never comes back with an older one. A form is written only when
+// every configured controller has declared it; silence is never taken for a declaration. What
+// was stored in older forms is read for ever.
+const (
+	formFirst  = 0 // the version without declarations
+	formAwaits = 1 // descriptions that name awaited jobs, packed records, marks of cancellation
+
+	// Form is the newest form that this version knows.
+	Form = formAwaits
+)
+
+const (
+	keyForm   = Root + "form/"   // declarations, by controller
+	keyCancel = Root + "cancel/" // cancellations of jobs whose record can't be written again as it is
+)
+
+// form is the newest form that may be written.
+func (c *Core) form() int { return c.formNow }
+
+// sawForm takes a controller's declaration.
+func (c *Core) sawForm(name string, form int) {
+	c.forms[name] = max(c.forms[name], form)
+	if name == c.cfg.Name && form > c.cfg.Form {
+		c.note("error", "a newer version has run here before: this one may not understand what it stored", "form", form)
+	}
+	least := min(c.forms[c.cfg.Name], c.cfg.Form)
+	for _, p := range c.cfg.Peers {
+		least = min(least, c.forms[p])
+	}
+	if least <= c.formNow {
+		return
+	}
+	c.note("info", "every controller knows this form now", "form", least)
+	c.formNow = least
+	c.shareBudget()
+	for _, j := range c.open { // what is too large is written again before it has to be
+		if j.size > c.cfg.ValueBytes {
+			c.touch(j)
+		}
+	}
+}
+
+// declare writes this controller's declaration.
+func (c *Core) declare() {
+	if c.forms[c.cfg.Name] >= c.cfg.Form || c.declaring || c.now < c.declareAt || c.now < c.holdUntil || !c.leaseOK() {
+		return
+	}
+	c.declaring = true
+	c.declareAt = c.now + time.Second
+	key := keyForm + c.cfg.Name
+	raw, err := json.Marshal(c.cfg.Form)
+	if err != nil {
+		panic(err) // a number
+	}
+	c.commit(wire.Txn{If: []wire.Cond{{Key: key, Mark: c.formMark}}, Then: []wire.Write{{Put: key, Value: raw}}},
+		&txn{done: func(int, wire.TxnReply) {
+			c.declaring = false
+			c.afterBarrier(func(bool) {}) // what came of it shows there
+		}})
+}
+
+// putForm takes a declaration from the state service.
+func (c *Core) putForm(key string, raw json.RawMessage, mark uint64) error {
+	var form int
+	if err := json.Unmarshal(raw, &form); err != nil {
+		return err
+	}
+	name := strings.TrimPrefix(key, keyForm)
+	if name == c.cfg.Name {
+		c.formMark = mark
+	}
+	c.sawForm(name, form)
+	return nil
+}
+
+// writeRPS is the change rate that all controllers together keep to: the one that is to come
+// from the moment when all of them know of it.
+func (c *Core) writeRPS() float64 {
+	if c.form() >= formAwaits && c.cfg.NextWriteRPS > 0 {
+		return c.cfg.NextWriteRPS
+	}
+	return c.cfg.WriteRPS
+}
+
+// shrink adapts to limits smaller than the settings say: a transaction that was refused is not
+// sent again as it was.
+func (c *Core) shrink(t *wire.Txn) {
+	largest := 0
+	for _, w := range t.Then {
+		largest = max(largest, len(w.Value))
+	}
+	if n := len(t.Then); n > 2 {
+		c.cfg.TxnOps = max(2, n-1)
+	} else {
+		c.cfg.ValueBytes = max(leastValue, largest*7/8)
+	}
+	c.note("error", "transaction refused: keeping to smaller ones", "changes", len(t.Then), "largest", largest,
+		"txn_ops", c.cfg.TxnOps, "value_bytes", c.cfg.ValueBytes)
+}
+
+const leastValue = 512
+
+// cancelMark is the value of a mark of cancellation.
+type cancelMark struct {
+	CancelMS int64 `json:"cm"`
+}
+
+// markCancelled cancels a job whose record is too large to be written again as it is: an older
+// version may have stored it under larger limits. The mark is one small durable write. The
+// record follows as its tasks end, and its writers see to it that there is no mark.
+func (c *Core) markCancelled(j *job, ms int64) {
+	raw, err := json.Marshal(cancelMark{CancelMS: ms})
+	if err != nil {
+		panic(err) // a number
+	}
+	key := keyCancel + j.id
+	j.inflight = true
+	c.commit(wire.Txn{If: []wire.Cond{{Key: keyJob + j.id, Mark: j.mark}, {Key: key, Mark: j.cancelMark}},
+		Then: []wire.Write{{Put: key, Value: raw}}}, &txn{done: func(status int, _ wire.TxnReply) {
+		j.inflight = false
+		c.touch(j)
+		if status == 429 || status == 503 {
+			return
+		}
+		j.resync = true
+		c.clearUp([]*job{j}, nil) // answers the users once the mark has come
+	}})
+}
+
+// putCancel takes a mark of cancellation.
+func (c *Core) putCancel(key string, raw json.RawMessage, mark uint64) error {
+	var v cancelMark
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return err
+	}
+	j := c.job(key[len(keyCancel):])
+	j.cancelMark, j.markedMS = mark, v.CancelMS
+	if j.mark != 0 && j.rec.Stage == stQueued {
+		rec := *j.rec
+		c.adopt(j, &rec, j.place, j.mark, j.size)
+	}
+	return nil
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -114,8 +113,11 @@
 		return a.Name == b.Name && a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB && a.Price == b.Price &&
 			a.BootS == b.BootS && slices.Equal(a.Zones, b.Zones)
 	})
-	raw, err := json.Marshal(k)
-	if same || err != nil || len(raw) > c.cfg.ValueBytes {
+	if same {
+		return
+	}
+	raw, err := encodeCatalog(k, c.cfg.ValueBytes, c.form() >= formAwaits)
+	if err != nil || len(raw) > c.cfg.ValueBytes {
 		return
 	}
 	c.typesBusy = true
--- a/core/place.go
+++ b/core/place.go
@@ -16,6 +16,7 @@
 	teams []*team
 	done  func(status int, r wire.TxnReply)
 	sent  time.Duration
+	txn   wire.Txn
 }
 
 // proposal is a job's next record, to be adopted once it is committed.
@@ -26,6 +27,7 @@
 	place   []asg
 	started []asg
 	ended   []asg
+	size    int // of the record, as it is written
 	accept  bool
 	cancel  bool
 	routine bool // it only tells of ends
@@ -35,7 +37,7 @@
 // commit sends a transaction and pays for it.
 func (c *Core) commit(t wire.Txn, x *txn) {
 	id := c.id()
-	x.sent = c.now
+	x.sent, x.txn = c.now, t
 	c.txns[id] = x
 	c.writes -= float64(len(t.Then))
 	c.spent += float64(len(t.Then))
@@ -62,6 +64,9 @@
 	if in.Status != 200 {
 		c.note("debug", "transaction not committed", "status", in.Status, "failed", in.Reply.Failed, "error", in.Reply.Error)
 	}
+	if in.Status == 400 && x.done == nil { // no leased key is in it
+		c.shrink(&x.txn)
+	}
 	behind := in.Status != 200 && in.Status != 429 && in.Status != 503
 	for _, t := range x.teams {
 		t.locked = behind // a team's state must be read before it is used again
@@ -88,7 +93,7 @@
 				c.freed(j, a)
 			}
 			if in.Reply.Ledger > j.mark {
-				c.adopt(j, p.rec, p.place, in.Reply.Ledger)
+				c.adopt(j, p.rec, p.place, in.Reply.Ledger, p.size)
 			}
 			if p.accept {
 				c.settleAccept(j, 201, "")
@@ -116,6 +121,9 @@
 		default:
 			// Applied late, or overtaken: read before proposing anything again.
 			j.resync = true
+			if in.Status == 400 {
+				j.lookAt = c.now + time.Second
+			}
 			resync = append(resync, j)
 		}
 	}
@@ -208,7 +216,12 @@
 
 // maxPlaced bounds the tasks of a job assigned at one time, so that its record fits a value;
 // fitValue sees to the rest.
-func (c *Core) maxPlaced() int { return max(8, (c.cfg.ValueBytes-1024)/12) }
+func (c *Core) maxPlaced() int {
+	if c.form() >= formAwaits {
+		return max(8, c.cfg.ValueBytes/3) // a packed task takes about two bytes
+	}
+	return max(8, (c.cfg.ValueBytes-1024)/12)
+}
 
 // place evaluates the jobs that changed and commits what follows.
 func (c *Core) place() {
@@ -301,7 +314,7 @@
 		return 0
 	case j.accept != nil:
 		return urgentAccept
-	case j.pending || j.lost:
+	case j.pending || j.lost || len(j.next) > 0:
 		return 2
 	}
 	return 3
@@ -315,12 +328,11 @@
 // before orders jobs for placement.
 func (c *Core) before(a, b *job) int {
 	p := func(j *job) (int, int64) {
-		if j.accept != nil {
+		switch {
+		case j.accept != nil:
 			return j.accept.spec.Priority, j.accept.unixMS
-		}
-		if j.rec != nil && j.rec.Spec != nil {
-			at := j.rec.AtMS
-			return j.rec.Spec.Priority, at
+		case j.rec != nil && j.rec.Spec != nil:
+			return j.prio, j.turn()
 		}
 		return 99, 0
 	}
@@ -362,7 +374,7 @@
 		// It may overdraw: if the others leave nothing, the service says so, and soon after it is
 		// tried again.
 		b.waitedFor = true
-		cost -= c.cfg.WriteRPS / 2
+		cost -= c.writeRPS() / 2
 	}
 	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.writes < cost {
 		return false
@@ -380,11 +392,17 @@
 	}
 	raw, err := c.fitValue(p)
 	if err != nil || len(raw) > c.cfg.ValueBytes {
-		c.note("error", "record does not fit", "job", j.id, "bytes", len(raw))
+		// An older version may have stored it under larger limits, or its tasks end in an order that
+		// leaves many pieces. It is written once more of them have ended; a job that is over always
+		// fits. Nothing is lost meanwhile: its machines keep what they reported.
 		c.undo(p)
-		j.dirty = false
+		j.lookAt = c.now + time.Second
+		if p.cancel && c.form() >= formAwaits {
+			c.markCancelled(j, p.rec.CancelMS)
+		}
 		return true
 	}
+	p.size = len(raw)
 	if p.starts && len(p.started) == 0 {
 		// No start fits the value before others of its tasks have ended. Without this, such a job
 		// was written again and again as it was, and the others starved.
@@ -403,6 +421,12 @@
 	}
 	b.t.If = append(b.t.If, wire.Cond{Key: keyJob + j.id, Mark: j.mark})
 	b.t.Then = append(b.t.Then, wire.Write{Put: keyJob + j.id, Value: raw})
+	if j.size > c.cfg.ValueBytes || j.cancelMark != 0 {
+		b.t.If = append(b.t.If, wire.Cond{Key: keyCancel + j.id, Mark: j.cancelMark})
+	}
+	if j.cancelMark != 0 && p.rec.Spec == nil {
+		b.t.Then = append(b.t.Then, wire.Write{Delete: keyCancel + j.id})
+	}
 	b.bytes += len(raw) + 200
 	if tm := c.teamOf(p.rec.Spec); tm != nil && tm.limited() && len(p.started) > 0 {
 		if _, ok := b.add[tm]; !ok {
@@ -420,20 +444,33 @@
 	return true
 }
 
-// fitValue encodes a proposal's record. New starts that would make it too large for a value
-// wait: once placed, a task only makes it smaller.
+// fitValue encodes a proposal's record: readable if there is room to spare, else packed if that
+// may be written. New starts that would make it too large for a value wait.
 func (c *Core) fitValue(p *proposal) (json.RawMessage, error) {
 	for {
-		raw, err := c.encode(p.rec, p.place)
-		if err != nil || len(p.started) == 0 || len(raw) <= c.cfg.ValueBytes*7/8 && len(raw)+c.growth(p.rec, p.place) <= c.cfg.ValueBytes {
+		starts := len(p.started)
+		raw, err := c.encode(p.rec, p.place, false)
+		if err != nil || len(raw) <= c.cfg.ValueBytes*7/8 && len(raw)+c.growth(p.rec, p.place) <= c.cfg.ValueBytes {
 			return raw, err
 		}
-		n := (len(p.started) + 3) / 4
-		late := p.started[len(p.started)-n:]
-		c.undo(&proposal{started: late, spec: p.spec})
-		p.started = p.started[:len(p.started)-n]
-		p.place = p.place[:len(p.place)-n]
-		p.rec.Tries -= uint64(n)
+		if c.form() >= formAwaits {
+			packed, err := c.encode(p.rec, p.place, true)
+			if err != nil || len(packed) <= c.cfg.ValueBytes*3/4 || starts == 0 && len(packed) <= c.cfg.ValueBytes {
+				return packed, err
+			}
+		}
+		switch {
+		case starts > 0:
+			n := (starts + 3) / 4
+			c.undo(&proposal{started: p.started[starts-n:], spec: p.spec})
+			p.started = p.started[:starts-n]
+			p.place = p.place[:len(p.place)-n]
+			p.rec.Tries -= uint64(n)
+		case len(raw) > c.cfg.ValueBytes && len(p.rec.Why) > 0:
+			p.rec.Why = nil
+		default:
+			return raw, nil
+		}
 	}
 }
 
@@ -477,12 +514,18 @@
 		spec := j.accept.spec
 		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true}
+		left, _, cancelled := c.unmet(&spec)
+		if cancelled != nil {
+			p.rec = &record{Shard: s, Stage: stCancelled, CancelMS: c.unixMS(), By: cancelled.id}
+			return p, 0
+		}
+		spec.Awaits = left // what is over needs no keeping
 		// Its tasks are placed with the same write if that costs its user no time: a team's key may
 		// be locked, or written by others so often that the write fails.
-		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && c.mineShard(s) && c.now < j.accept.since+2*lockedAgain {
+		if t := c.teamOf(&spec); t != nil && t.limited() && t.locked && len(left) == 0 && c.mineShard(s) && c.now < j.accept.since+2*lockedAgain {
 			return nil, c.now + lockedAgain
 		}
-		if !j.accept.failed && c.mineShard(s) {
+		if !j.accept.failed && c.mineShard(s) && len(left) == 0 {
 			c.assign(p, b)
 		}
 		return p, 0
@@ -499,6 +542,10 @@
 		rec.Stage = stCancelled
 		rec.CancelMS = j.cancelMS
 	}
+	ended := j.cause != nil && rec.Stage == stQueued // with a job that it needs
+	if ended {
+		rec.Stage, rec.By, rec.CancelMS = stCancelled, j.cause.id, c.unixMS()
+	}
 	if !c.mine(j) {
 		if !p.cancel {
 			return nil, 0
@@ -506,7 +553,7 @@
 		p.place = j.place
 		return p, 0
 	}
-	changed := p.cancel
+	changed := p.cancel || ended || j.size > c.cfg.ValueBytes && c.form() >= formAwaits
 	quick := p.cancel
 	for _, a := range j.place {
 		ended, cause := c.fate(j, a)
@@ -533,14 +580,14 @@
 	}
 	switch {
 	case rec.Stage == stCancelled && len(p.place) == 0:
-		rec = record{Shard: rec.Shard, Stage: stCancelled, Done: rec.Done, Why: rec.Why}
+		rec = record{Shard: rec.Shard, Stage: stCancelled, Done: rec.Done, Why: rec.Why, By: rec.By}
 		changed = true
 	case rec.Stage == stQueued && rec.Done.count() == rec.Spec.Tasks:
 		c.note("debug", "job done", "job", j.id, "class", rec.Spec.Class, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "tries", rec.Tries,
 			"estimate_s", rec.Spec.EstimateMS/1000, "took_ms", c.unixMS()-rec.AtMS, "placed_ms", j.placedMS-rec.AtMS, "why", rec.Why)
 		rec = record{Shard: rec.Shard, Stage: stDone, Done: ranges{0, rec.Spec.Tasks - 1}}
 		changed, quick = true, true
-	case rec.Stage == stQueued:
+	case rec.Stage == stQueued && j.waits == 0:
 		before := len(p.place)
 		again = c.assign(p, b)
 		if len(p.place) > before {
@@ -662,7 +709,11 @@
 			only = c.bestZone(s)
 		}
 	}
-	held := c.hold != nil && s.Priority > c.hold.Priority && c.copy.Valid(c.now)
+	prio := s.Priority
+	if !p.accept {
+		prio = p.j.prio
+	}
+	held := c.hold != nil && prio > c.hold.Priority && c.copy.Valid(c.now)
 	ask := ccs.Ask{N: int(math.Ceil(c.cfg.ProbeRatio * float64(len(tasks)))), Claim: s.Claim, Fill: c.cfg.RandomFill, Keep: s.Spot,
 		Allow: func(i int32) bool {
 			m := c.machines[i]
@@ -761,18 +812,24 @@
 		if s.Service {
 			return forever
 		}
-		left := time.Duration(s.EstimateMS) * time.Millisecond
-		if p := m.pieces[attKey{k.job, k.task, a.try}]; p.state == wire.TaskExited {
-			continue
-		} else if p.state == wire.TaskRunning {
-			// One that is over its estimate is expected to take a quarter of it more.
-			left = max(left-(c.now-p.since), left/4)
-		}
-		h = max(h, left)
+		h = max(h, c.leftOf(c.jobs[k.job], m, a))
 	}
 	return h
 }
 
+// leftOf is how long an assigned task should still take, by its owner's estimate.
+func (c *Core) leftOf(j *job, m *machine, a asg) time.Duration {
+	left := time.Duration(j.rec.Spec.EstimateMS) * time.Millisecond
+	switch p := m.pieces[attKey{j.idx, a.task, a.try}]; p.state {
+	case wire.TaskExited:
+		return 0
+	case wire.TaskRunning:
+		// One that is over its estimate is expected to take a quarter of it more.
+		left = max(left-(c.now-p.since), left/4)
+	}
+	return left
+}
+
 // holds reports whether a machine still reports an attempt of a task that has not exited.
 func (c *Core) holds(m *machine, j *job, task int32) bool {
 	for k, p := range m.pieces {
--- a/core/plan.go
+++ b/core/plan.go
@@ -297,10 +297,25 @@
 		}
 		left[t] = u
 	}
+	asked := map[*job]bool{}
 	for _, j := range c.open {
 		if j.rec == nil || j.rec.Spec == nil || j.final() {
 			continue
 		}
+		// What should be ready before a machine that is rented now could be up.
+		for _, o := range j.next {
+			if asked[o] {
+				continue
+			}
+			asked[o] = true
+			if in, ok := c.readyIn(o); ok && in < c.bootTime(o.rec.Spec) {
+				out = append(out, need{job: o, spec: o.rec.Spec, n: min(o.rec.Spec.Tasks, c.maxPlaced()), zones: map[string]int{},
+					reserve: true, prio: o.prio, at: o.turn()})
+			}
+		}
+		if j.waits > 0 {
+			continue
+		}
 		s := j.rec.Spec
 		running[s.Class] += len(j.place)
 		n := s.Tasks - j.rec.Done.count() - len(j.place)
@@ -314,10 +329,10 @@
 			}
 		}
 		if n > 0 && c.now >= j.backoff {
-			out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: s.Priority, at: j.rec.AtMS})
+			out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: j.prio, at: j.turn()})
 		}
 		if cut > 0 {
-			out = append(out, need{job: j, spec: s, n: cut, zones: zones, standby: true, prio: s.Priority, at: j.rec.AtMS})
+			out = append(out, need{job: j, spec: s, n: cut, zones: zones, standby: true, prio: j.prio, at: j.turn()})
 		}
 	}
 	for class, st := range c.classes {
@@ -593,7 +608,7 @@
 	for _, v := range b.m.sortedTasks() {
 		s := c.jobs[v.job].rec.Spec
 		p, there := b.m.pieces[attKey{v.job, v.task, v.try}]
-		if s != nil && there && !s.Service && s.Priority > n.prio && !slices.Contains(b.stopped, v) &&
+		if s != nil && there && !s.Service && s.Priority > n.spec.Priority && !slices.Contains(b.stopped, v) &&
 			(p.state == wire.TaskRunning || p.state == wire.TaskFetching) {
 			all = append(all, v)
 		}
--- a/core/record.go
+++ b/core/record.go
@@ -30,6 +30,8 @@
 	AtMS     int64      `json:"at,omitempty"` // time of day of acceptance
 	CancelMS int64      `json:"cm,omitempty"` // time of day of cancellation
 	Why      []reason   `json:"w,omitempty"`
+	By       string     `json:"by,omitempty"` // the cancelled job because of which this one is
+	Packed   []byte     `json:"b,omitempty"`  // Place, Done and what the description awaits, packed
 }
 
 // placed lists the tasks assigned to machines of one zone that are in the same session. Jobs
@@ -152,6 +154,11 @@
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
 	}
+	if r.Packed != nil {
+		if err := r.unpackAll(); err != nil {
+			return nil, fmt.Errorf("job record: %w", err)
+		}
+	}
 	if r.Spec != nil && !r.Done.valid(r.Spec.Tasks) {
 		return nil, fmt.Errorf("job record: bad done set")
 	}
@@ -163,14 +170,14 @@
 	return &r, nil
 }
 
-// encode renders a record with the given assignments.
-func (c *Core) encode(r *record, place []asg) (json.RawMessage, error) {
+// encode renders a record with the given assignments, packed or not.
+func (c *Core) encode(r *record, place []asg, packed bool) (json.RawMessage, error) {
 	out := *r
 	out.Place = nil
 	sorted := slices.Clone(place)
 	slices.SortFunc(sorted, func(a, b asg) int {
-		return cmp.Or(cmp.Compare(c.machines[a.machine].zone, c.machines[b.machine].zone), cmp.Compare(a.session, b.session),
-			cmp.Compare(a.machine, b.machine), cmp.Compare(a.task, b.task))
+		x, y := c.machines[a.machine], c.machines[b.machine]
+		return cmp.Or(cmp.Compare(x.zone, y.zone), cmp.Compare(a.session, b.session), cmp.Compare(x.name, y.name), cmp.Compare(a.task, b.task))
 	})
 	for i, a := range sorted {
 		zone := c.machines[a.machine].zone
@@ -194,6 +201,11 @@
 	for i := range out.Place {
 		out.Place[i].cutPrefix()
 	}
+	if packed {
+		if err := out.packAll(); err != nil {
+			return nil, fmt.Errorf("job record: %w", err)
+		}
+	}
 	raw, err := json.Marshal(&out)
 	if err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
--- a/core/types.go
+++ b/core/types.go
@@ -12,6 +12,7 @@
 
 // Config is all that a core needs to know at its start.
 type Config struct {
+	Form     int // the newest form of stored data that this controller knows; see form.go
 	Name     string
 	Zone     string
 	Peers    []string
@@ -21,13 +22,14 @@
 	WatchGap time.Duration
 	ReadGap  time.Duration // between read barriers
 
-	StateRPS   float64 // of all controllers together
-	WriteRPS   float64
-	WriteShare float64 // the most of it that one controller uses
-	ValueBytes int
-	TxnOps     int
-	CloudRPS   float64
-	ListLag    time.Duration
+	StateRPS     float64 // of all controllers together
+	WriteRPS     float64
+	NextWriteRPS float64 // the same once every controller runs this version
+	WriteShare   float64 // the most of it that one controller uses
+	ValueBytes   int
+	TxnOps       int
+	CloudRPS     float64
+	ListLag      time.Duration
 
 	ReportEvery time.Duration
 	WorkerLease time.Duration
--- a/core/users.go
+++ b/core/users.go
@@ -26,14 +26,24 @@
 		s.Reasons = append(s.Reasons, wire.Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
 	}
 	s.Done = j.rec.Done.count()
-	switch j.rec.Stage {
-	case stDone:
+	switch {
+	case j.rec.Stage == stDone:
 		s.Stage = wire.StageDone
 		return s
-	case stCancelled:
-		s.Stage = wire.StageCancelled
+	case j.final():
+		s.Stage, s.CancelledBy = wire.StageCancelled, j.rec.By
+		if j.cause != nil {
+			s.CancelledBy = j.cause.id
+		}
 		return s
 	}
+	for _, o := range j.needs {
+		if o.rec == nil || o.rec.Stage != stDone {
+			if s.AwaitsCount++; s.AwaitsCount <= awaitsShown {
+				s.Awaits = append(s.Awaits, o.id)
+			}
+		}
+	}
 	for _, a := range j.place {
 		m := c.machines[a.machine]
 		if p, ok := m.pieces[attKey{j.idx, a.task, a.try}]; ok && m.session == a.session &&
@@ -47,7 +57,11 @@
 	return s
 }
 
-func (j *job) final() bool { return j.rec != nil && j.rec.Stage != stQueued }
+const awaitsShown = 20 // of the jobs that a queued one waits for
+
+// final reports whether a job is done or cancelled. One that needs a cancelled job is cancelled
+// with it, from the write of that cancellation on; its own record follows.
+func (j *job) final() bool { return j.rec != nil && (j.rec.Stage != stQueued || j.cause != nil) }
 
 func (c *Core) poll(in Poll) {
 	if !c.loaded {
@@ -97,10 +111,7 @@
 		c.repeat(in.Req, j)
 		return
 	}
-	status, why := 400, in.Bad
-	if in.Bad == "" {
-		status, why = c.impossible(&in.Spec)
-	}
+	status, why := c.judge(&in)
 	switch {
 	case status == 503:
 		c.refuse(in.Req, why)
@@ -109,17 +120,24 @@
 	case status != 0:
 		// A repeat of an accepted job is never refused so: first learn whether it is one.
 		c.afterBarrier(func(ok bool) {
-			if j := c.knownJob(in.ID); j != nil && ok {
-				c.reply(in.Req, 200, c.state(j))
-			} else if !ok {
+			j := c.knownJob(in.ID)
+			status, why := c.judge(&in)
+			switch {
+			case !ok:
 				c.refuse(in.Req, "state service not reached")
-			} else {
+			case j != nil:
+				c.reply(in.Req, 200, c.state(j))
+			case status == 503:
+				c.refuse(in.Req, why)
+			case status != 0:
 				c.reply(in.Req, status, wire.Error{Error: why})
+			default: // a job that it awaits came with the barrier
+				c.submit(in)
 			}
 		})
 	default:
 		// More than the state service takes until they would be refused are refused at once.
-		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.cfg.WriteRPS*acceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
+		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.writeRPS()*acceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
 			c.refuse(in.Req, "too busy")
 			return
 		}
@@ -155,6 +173,34 @@
 	})
 }
 
+// judge tells why a submission can't be accepted, with its status, as far as is known here; 0 if
+// it can.
+func (c *Core) judge(in *Submit) (int, string) {
+	if in.Bad != "" {
+		return 400, in.Bad
+	}
+	s := in.Spec
+	if status, why := c.impossible(&s); status != 0 {
+		return status, why
+	}
+	if len(s.Awaits) > 0 {
+		if c.form() < formAwaits {
+			return 503, "a controller may still run a version that does not know awaits"
+		}
+		left, unknown, _ := c.unmet(&s)
+		if unknown != "" {
+			return 422, "awaits a job that was never accepted: " + unknown
+		}
+		s.Awaits = left
+	}
+	// What a record holds beside the description must find room in its value.
+	raw, err := c.encode(&record{Spec: &s}, nil, c.form() >= formAwaits)
+	if err != nil || len(raw) > c.cfg.ValueBytes*3/4 {
+		return 400, "the description and the unfinished jobs that it awaits are too long to be stored"
+	}
+	return 0, ""
+}
+
 // impossible tells why a job can never run; 503 if that can't be decided yet, 0 if it can run.
 func (c *Core) impossible(s *wire.Spec) (int, string) {
 	if c.catalog == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,14 @@
 	Share    float64 `json:"share"`
 }
 
+// Limits are those that the state service will have some day; nil means as they are now.
+type Limits struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
 // Platform is the settings file of the platform. Unknown fields are ignored.
 type Platform struct {
 	Name     string `json:"node_name"`
@@ -65,6 +73,7 @@
 			WriteRPS float64 `json:"write_rps"`
 			ValueKB  float64 `json:"value_kb"`
 			TxnOps   int     `json:"txn_ops"`
+			Next     Limits  `json:"next"`
 		} `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps"`
@@ -95,6 +104,10 @@
 	return p, nil
 }
 
+// leastOps is the least number of changes a transaction must take: a claim raises the token, and
+// starts of a team with a limit write its key.
+const leastOps = 2
+
 func (p *Platform) check() error {
 	if p.Name == "" {
 		return errors.New("node_name is missing")
@@ -125,8 +138,20 @@
 			return fmt.Errorf("cluster.%s must be greater than 0", v.field)
 		}
 	}
-	if c.State.TxnOps < 3 {
-		return errors.New("cluster.state.txn_ops must be at least 3")
+	if c.State.TxnOps < leastOps {
+		return fmt.Errorf("cluster.state.txn_ops must be at least %d", leastOps)
+	}
+	n := &c.State.Next
+	for _, v := range []struct {
+		field string
+		v     *float64
+	}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}} {
+		if v.v != nil && (!(*v.v > 0) || *v.v > 1e9) {
+			return fmt.Errorf("cluster.state.next.%s must be greater than 0", v.field)
+		}
+	}
+	if n.TxnOps != nil && *n.TxnOps < leastOps {
+		return fmt.Errorf("cluster.state.next.txn_ops must be at least %d", leastOps)
 	}
 	teams := map[string]bool{}
 	for i, t := range c.Teams {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -56,6 +57,7 @@
 	Checkpoint *float64 `json:"glaze_s"`
 	Save       *float64 `json:"cool_s"`
 	Deadline   *float64 `json:"due_s"`
+	Awaits     []string `json:"awaits"`
 }
 
 // Priorities, most important first; a job's priority is an index into it.
@@ -80,6 +82,7 @@
 	SaveMS     int64    `json:"sa,omitempty"`
 	DeadlineMS int64    `json:"dl,omitempty"`
 	Saves      bool     `json:"cp,omitempty"`
+	Awaits     []string `json:"aw,omitempty"` // ids of jobs that must be done first, sorted
 }
 
 // ValidJobID reports whether s has the form of a job id.
@@ -182,10 +185,17 @@
 	if s.Zone != nil && !name(s.Zone) {
 		return fail("yard")
 	}
+	for _, id := range s.Awaits {
+		if !ValidJobID(id) {
+			return fail("awaits")
+		}
+	}
+	slices.Sort(s.Awaits)
 	up := func(v float64) int64 { return int64(math.Ceil(v*1000 - 1e-6)) }
 	sp := Spec{ID: *s.ID, Class: *s.Class, Team: *s.Team, Service: *s.Kind == "daemon", Priority: prio, Tasks: *s.Tasks,
 		Claim: [3]int64{up(*s.CPUs), up(*s.GPUs), up(*s.MemoryGB)}, Types: s.Types, OneZone: *s.OneZone, Spread: *s.Spread,
-		Spot: *s.Spot, EstimateMS: up(*s.Estimate), SaveMS: up(*s.Save), Saves: *s.Checkpoint > 0}
+		Spot: *s.Spot, EstimateMS: up(*s.Estimate), SaveMS: up(*s.Save), Saves: *s.Checkpoint > 0,
+		Awaits: slices.Compact(s.Awaits)}
 	if s.Image != nil {
 		sp.Image = *s.Image
 	}
@@ -206,13 +216,17 @@
 	StageCancelled = "cancelled"
 )
 
-// JobState answers users. Reasons is an addition of ours: why tasks stopped.
+// JobState answers users. Additions of ours: why tasks stopped, what a queued job still waits
+// for, and because of which job one is cancelled that its user did not cancel.
 type JobState struct {
-	ID      string   `json:"uid"`
-	Stage   string   `json:"stage"`
-	Done    int      `json:"done"`
-	Running int      `json:"running"`
-	Reasons []Reason `json:"reasons,omitempty"`
+	ID          string   `json:"uid"`
+	Stage       string   `json:"stage"`
+	Done        int      `json:"done"`
+	Running     int      `json:"running"`
+	Reasons     []Reason `json:"reasons,omitempty"`
+	Awaits      []string `json:"awaits,omitempty"`       // the first of them
+	AwaitsCount int      `json:"awaits_count,omitempty"` // all of them
+	CancelledBy string   `json:"cancelled_by,omitempty"`
 }
 
 // Reason tells why a task stopped.
