--- a/core/awaits.go
+++ b/core/awaits.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"dewlift/wire"
@@ -59,6 +60,7 @@
 func (c *Core) over(j *job) {
 	next := j.next
 	j.next = nil
+	c.leave(j)
 	if j.rec.Stage == stDone {
 		for _, n := range next {
 			if n.waits--; n.waits == 0 && !n.final() {
@@ -78,12 +80,20 @@
 			c.touch(n)
 			c.settleCancels(n)
 			list = append(list, n.next...)
-			c.inherit(n.needs)
-			n.next, n.needs = nil, nil
+			n.next = nil
+			c.leave(n)
 		}
 	}
-	c.inherit(j.needs)
+}
+
+// leave has the jobs that an ended one awaited inherit nothing of it any more.
+func (c *Core) leave(j *job) {
+	needs := j.needs
 	j.needs = nil
+	for _, o := range needs {
+		o.next = slices.DeleteFunc(o.next, func(n *job) bool { return n == j })
+	}
+	c.inherit(needs)
 }
 
 // inherit works out anew what jobs inherit from those that need them, and passes changes on.
--- /dev/null
+++ b/internal/sim/chains.go
@@ -0,0 +1,70 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"dewlift/wire"
+)
+
+// chainsFrom is when users begin to submit pipelines: nothing new is asked before every process
+// is new.
+func (w *World) chainsFrom() time.Duration {
+	if !w.opt.Upgrade {
+		return 0
+	}
+	return 40*time.Second + time.Duration(len(w.nodes))*15*time.Second
+}
+
+// chain submits a pipeline of some shape: one or several roots, stages that await some or all of
+// the jobs before, a last job that may come late. Some of its jobs are cancelled, like any.
+func (w *World) chain() {
+	if w.opt.Upgrade && w.oldOnes() {
+		w.after(time.Second, w.chain) // a replaced process is not back yet
+		return
+	}
+	n := 3 + w.rng.IntN(5)
+	if w.chance(0.2) {
+		n += 20
+	}
+	var ids []string
+	var step func()
+	step = func() {
+		if len(ids) == n {
+			return
+		}
+		s := w.someJob()
+		s.Service, s.Spread = false, false
+		for back := 1; back <= len(ids); back++ {
+			if back == 1 && !w.chance(0.2) || back > 1 && back < 6 && w.chance(0.3) {
+				s.Awaits = append(s.Awaits, ids[len(ids)-back])
+			}
+		}
+		if len(ids) == n-1 {
+			s.Priority, s.DeadlineMS = 1, 90_000
+		}
+		ids = append(ids, s.ID)
+		wait := time.Duration(0)
+		if len(ids) == n && w.chance(0.4) {
+			wait = w.between(time.Second, 60*time.Second) // the last is submitted late
+		}
+		w.after(wait, func() { w.userThen(s, step) })
+	}
+	step()
+}
+
+// someJob is a job of some kind that nobody has submitted.
+func (w *World) someJob() wire.Spec {
+	s := wire.Spec{ID: fmt.Sprintf("wk-%06d", w.rng.IntN(1_000_000)), Class: "c", Team: w.teams[w.rng.IntN(2)].Name,
+		Service: w.chance(0.3), Priority: w.rng.IntN(4), Tasks: 1 + w.rng.IntN(w.opt.Tasks), Claim: [3]int64{1000 * int64(1+w.rng.IntN(4)), 0, 2000},
+		Image: fmt.Sprintf("i%d", w.rng.IntN(3)), OneZone: w.chance(0.2), Spot: w.chance(0.5), EstimateMS: 10000}
+	s.Spread = !s.OneZone && w.chance(0.4)
+	if w.chance(0.2) {
+		s.Zone = zones[w.rng.IntN(3)]
+		s.Spread = false
+	}
+	if w.chance(0.2) {
+		s.Types = []string{"big"}
+	}
+	return s
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -61,6 +61,33 @@
 	}
 }
 
+// The version in production is replaced process by process, in troubles; then the limits of the
+// state service fall, and users submit pipelines.
+func TestRulesHoldThroughAnUpgrade(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			o := Options{Seed: seed, Length: 240 * time.Second, Jobs: 20, Upgrade: true, Chains: 8}
+			if seed%4 == 0 { // jobs that outgrow a value under the limits to come
+				o.Fleet, o.Tasks, o.Jobs = 300, 400, 40
+			}
+			w := play(t, o)
+			t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+		})
+	}
+}
+
+// Pipelines of all shapes, with cancellations at any time.
+func TestRulesHoldForPipelines(t *testing.T) {
+	for seed := uint64(1); seed <= 30; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			w := play(t, Options{Seed: seed, Length: 240 * time.Second, Jobs: 5, Chains: 12, Quiet: seed%5 == 0})
+			t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+		})
+	}
+}
+
 // Five controllers, and jobs and machines enough to cross the limits of a value and of a
 // transaction, in troubles.
 func TestRulesHoldInLargeWorlds(t *testing.T) {
@@ -93,6 +120,7 @@
 	m2 := wire.Machine{Name: "m2", Type: "big", Zone: "b"}
 	m3 := wire.Machine{Name: "m3", Type: "big", Zone: "a", Spot: true}
 	spec := wire.Spec{ID: "wk-1", Team: "t", Tasks: 2, Claim: [3]int64{1000, 0, 0}}
+	after := wire.Spec{ID: "wk-2", Team: "t", Tasks: 1, Awaits: []string{"wk-1"}}
 	for rule, step := range map[string]func(k *Checker){
 		"ran_twice": func(k *Checker) { k.On(0, "wk-1", 0, m1); k.On(0, "wk-1", 0, m2) },
 		"quota": func(k *Checker) {
@@ -119,6 +147,14 @@
 			k.Answered(1, 2, "poll", "wk-1", 200, "queued")
 		},
 		"nothing_ran": func(k *Checker) { k.Finish() },
+		"too_early":   func(k *Checker) { k.Submitted(after); k.Completed("wk-1", 0); k.On(0, "wk-2", 0, m1) },
+		"orphaned": func(k *Checker) {
+			k.Submitted(after)
+			k.Answered(0, 0, "submit", "wk-2", 201, "queued")
+			k.Asked("wk-1")
+			k.Answered(0, 0, "cancel", "wk-1", 200, "cancelled")
+			k.Answered(11*time.Second, 11*time.Second, "poll", "wk-2", 200, "queued")
+		},
 	} {
 		k := NewChecker(10*time.Second, map[string][2]int64{})
 		k.Submitted(spec)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -21,6 +21,8 @@
 	Nodes    int  // controllers; 0: 3
 	Fleet    int  // the most machines there are; 0: 14
 	Tasks    int  // the most tasks of a job; 0: 9
+	Upgrade  bool // begin with the version in production and replace it, and have the limits fall
+	Chains   int  // pipelines of jobs that await others
 }
 
 type event struct {
@@ -52,6 +54,9 @@
 	slip  time.Duration // its clock began this much off
 	began time.Duration
 	reqs  map[uint64]func(core.Reply)
+
+	old    bool // its next process is of the version in production
+	ranOld bool // its process is
 }
 
 // World is a seeded world.
@@ -95,6 +100,9 @@
 		n := &node{name: fmt.Sprintf("n%d", i), slip: time.Duration(w.rng.IntN(5000)) * time.Millisecond}
 		w.nodes = append(w.nodes, n)
 	}
+	if opt.Upgrade {
+		w.upgrade()
+	}
 	for _, n := range w.nodes {
 		w.boot(n)
 	}
@@ -134,7 +142,7 @@
 }
 
 func (w *World) config(n *node) core.Config {
-	cfg := core.Config{Name: n.name, Zone: "a", Teams: w.teams, Lease: 4 * time.Second, Shards: 6,
+	cfg := core.Config{Form: core.Form, Name: n.name, Zone: "a", Teams: w.teams, Lease: 4 * time.Second, Shards: 6,
 		WatchGap: 100 * time.Millisecond, ReadGap: 150 * time.Millisecond, StateRPS: 100, WriteRPS: 40, WriteShare: 0.6, ValueBytes: 8192,
 		TxnOps: 12, CloudRPS: 4, ListLag: 3 * time.Second, ReportEvery: reportEvery, WorkerLease: workerLease,
 		CancelIn: cancelIn, DeltaEvery: 500 * time.Millisecond, PushEvery: time.Second, CopyExpire: 10 * time.Second,
@@ -142,6 +150,12 @@
 		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
 		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35}
+	if w.opt.Upgrade && !n.old {
+		cfg.ValueBytes, cfg.TxnOps, cfg.NextWriteRPS = next.value, next.ops, next.rate
+	}
+	if n.old {
+		cfg.Form = 0
+	}
 	for _, o := range w.nodes {
 		if o != n {
 			cfg.Peers = append(cfg.Peers, o.name)
@@ -152,7 +166,7 @@
 
 func (w *World) boot(n *node) {
 	n.life++
-	n.down = false
+	n.down, n.ranOld = false, n.old
 	n.began = w.now
 	n.reqs = map[uint64]func(core.Reply){}
 	n.core = core.New(w.config(n), 0, w.rng.Uint64())
@@ -186,7 +200,7 @@
 	}
 	// The steady clock may run fast by up to 0.05%.
 	t := time.Duration(float64(w.now-n.began) * (1 + 0.0005*float64(n.slip)/float64(5*time.Second)))
-	n.core.Handle(t, in)
+	n.core.Handle(t, w.understood(n, in))
 	for _, o := range n.core.Advance(t) {
 		w.do(n, o)
 	}
@@ -219,6 +233,7 @@
 		}
 	case core.Commit:
 		out := core.Committed{ID: o.ID}
+		w.checkForms(n, o.Txn)
 		w.rpc(n.name, "state", 2*time.Second, w.lateness(0.01), func() {
 			out.Status, out.Reply = w.state.commit(n.name, o.Txn)
 		}, func(ok bool) {
@@ -471,20 +486,13 @@
 // users submit, poll and cancel.
 func (w *World) users() {
 	for i := 0; i < w.opt.Jobs; i++ {
-		s := wire.Spec{ID: fmt.Sprintf("wk-%06d", w.rng.IntN(1_000_000)), Class: "c", Team: w.teams[w.rng.IntN(2)].Name,
-			Service: w.chance(0.3), Priority: w.rng.IntN(4), Tasks: 1 + w.rng.IntN(w.opt.Tasks), Claim: [3]int64{1000 * int64(1+w.rng.IntN(4)), 0, 2000},
-			Image: fmt.Sprintf("i%d", w.rng.IntN(3)), OneZone: w.chance(0.2), Spot: w.chance(0.5), EstimateMS: 10000}
-		s.Spread = !s.OneZone && w.chance(0.4)
-		if w.chance(0.2) {
-			s.Zone = zones[w.rng.IntN(3)]
-			s.Spread = false
-		}
-		if w.chance(0.2) {
-			s.Types = []string{"big"}
-		}
+		s := w.someJob()
 		at := w.between(0, w.opt.Length*2/3)
 		w.after(at, func() { w.user(s) })
 	}
+	for range w.opt.Chains {
+		w.after(w.between(w.chainsFrom(), w.opt.Length*2/3), w.chain)
+	}
 	var stranger func()
 	stranger = func() { // asks about jobs that nobody submitted
 		id := fmt.Sprintf("wk-x%05d", w.rng.IntN(100000))
@@ -505,7 +513,10 @@
 	return st.Stage
 }
 
-func (w *World) user(s wire.Spec) {
+func (w *World) user(s wire.Spec) { w.userThen(s, func() {}) }
+
+// userThen is a user who submits a job and goes on with something else once it is accepted.
+func (w *World) userThen(s wire.Spec, accepted func()) {
 	if w.Check.jobs[s.ID] != nil {
 		return
 	}
@@ -523,6 +534,7 @@
 					w.after(time.Second, submit)
 					return
 				}
+				accepted()
 				w.after(w.between(time.Second, 5*time.Second), poll)
 				if s.Service || w.chance(0.25) {
 					w.after(w.between(time.Second, 60*time.Second), cancel)
