--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -35,6 +35,7 @@
 	name  string
 	peers map[string]*link
 	log   *slog.Logger
+	alive time.Duration // between two signs of life
 }
 
 type link struct {
@@ -45,7 +46,7 @@
 
 // New returns a mesh that knows its peers by name and address.
 func New(name string, peers map[string]string, log *slog.Logger) *Mesh {
-	m := &Mesh{name: name, peers: map[string]*link{}, log: log}
+	m := &Mesh{name: name, peers: map[string]*link{}, log: log, alive: aliveTick}
 	for n, a := range peers {
 		m.peers[n] = &link{name: n, addr: a, queue: make(chan []byte, queueLen)}
 	}
@@ -107,11 +108,18 @@
 	if rc.Flush() != nil {
 		return
 	}
-	go func() { // ends with the request
-		for t := time.NewTicker(aliveTick); ; {
+	// The signs of life end before the handler does: a write after its end panics, and once a zone
+	// was cut off that ended the whole process.
+	ctx, cancel := context.WithCancel(r.Context())
+	ended := make(chan struct{})
+	defer func() { cancel(); <-ended }()
+	go func() {
+		defer close(ended)
+		t := time.NewTicker(m.alive)
+		defer t.Stop()
+		for {
 			select {
-			case <-r.Context().Done():
-				t.Stop()
+			case <-ctx.Done():
 				return
 			case <-t.C:
 				if _, err := w.Write([]byte("\n")); err != nil || rc.Flush() != nil {
