--- a/core/core_test.go
+++ b/core/core_test.go
@@ -13,7 +13,7 @@
 )
 
 func testConfig() Config {
-	return Config{Name: "n0", Peers: []string{"n1", "n2"}, Teams: []Team{{Name: "t"}}, Lease: 4 * time.Second, Shards: 4,
+	return Config{Form: Form, Name: "n0", Peers: []string{"n1", "n2"}, Teams: []Team{{Name: "t"}}, Lease: 4 * time.Second, Shards: 4,
 		StateRPS: 100, WriteRPS: 100, WriteShare: 0.6, ValueBytes: 8192, TxnOps: 12, CloudRPS: 4, ReportEvery: 3 * time.Second,
 		WorkerLease: 20 * time.Second, CancelIn: 40 * time.Second, DeltaEvery: 50 * time.Millisecond, PushEvery: 200 * time.Millisecond,
 		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
