--- a/core/awaits_test.go
+++ b/core/awaits_test.go
@@ -83,8 +83,11 @@
 
 // Another controller may just have accepted the job that a submission names: only a read barrier
 // tells that it was never accepted.
+// It is asked for at once: waiting for the next one's turn took a quarter of a second.
 func TestAwaitedJobThatComesWithTheBarrier(t *testing.T) {
 	c := piped(t)
+	c.Advance(2 * time.Second)
+	c.barrierAt = time.Hour
 	c.Handle(2*time.Second, awaiting1("wk-2", "wk-1"))
 	asked := false
 	for _, o := range outputs[Changes](c.Advance(2 * time.Second)) {
--- a/core/core.go
+++ b/core/core.go
@@ -572,6 +572,15 @@
 	c.waiting = append(c.waiting, f)
 }
 
+// soonAfterBarrier is afterBarrier for a submission: its user counts the milliseconds, and there are
+// few that need one. The barrier does not wait for its turn, as long as requests are left.
+func (c *Core) soonAfterBarrier(f func(ok bool)) {
+	c.afterBarrier(f)
+	if c.reads > 1 {
+		c.barrierAt = min(c.barrierAt, c.now)
+	}
+}
+
 func (c *Core) stateAnswered(status int) {
 	if status == 0 || status == 503 {
 		c.stateBad = c.now
--- a/core/users.go
+++ b/core/users.go
@@ -14,7 +14,10 @@
 	c.emit(r)
 }
 
-func (c *Core) refuse(req uint64, why string) { c.reply(req, 503, wire.Error{Error: why}) }
+func (c *Core) refuse(req uint64, why string) {
+	c.note("debug", "request refused", "why", why)
+	c.reply(req, 503, wire.Error{Error: why})
+}
 
 // state is a job's state as its users see it.
 func (c *Core) state(j *job) wire.JobState {
@@ -118,8 +121,9 @@
 	case c.stateDown() || !c.leaseOK():
 		c.refuse(in.Req, "state service not reached")
 	case status != 0:
-		// A repeat of an accepted job is never refused so: first learn whether it is one.
-		c.afterBarrier(func(ok bool) {
+		// A repeat of an accepted job is never refused so: first learn whether it is one. And a job
+		// that it awaits may just have been accepted by another controller.
+		c.soonAfterBarrier(func(ok bool) {
 			j := c.knownJob(in.ID)
 			status, why := c.judge(&in)
 			switch {
@@ -254,6 +258,7 @@
 	}
 	j.accept = nil
 	c.accepting--
+	c.note("debug", "submission answered", "job", j.id, "status", status, "after_ms", (c.now - a.since).Milliseconds(), "failed", a.failed)
 	for i, req := range a.reqs {
 		switch {
 		case status == 200 || status == 201 && i > 0:
