Cut zones: messages go by one that reaches, others ask quiet machines

Messages to the leader went by way of the neighbour in the same zone, which was cut off as well; and machines that had reported to the other zone need up to 11 s to find a controller in reach, silence is 9 s, and only owners of their tasks asked them. Now controllers tell whom they hear (an optional field that the old version ignores), and the leader has the others ask quiet machines in turn. Ruled out: spot wave, crash and outage (no ordinary machine returned around them).

--- a/core/core.go
+++ b/core/core.go
@@ -172,7 +172,8 @@
 	heard   time.Duration
 	known   bool
 	stateOK bool
-	used    float64 // changes of the state service a second
+	used    float64  // changes of the state service a second
+	hears   []string // controllers that it reaches
 }
 
 // Core is the state machine of one controller.
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -387,6 +387,81 @@
 	}
 }
 
+// With two controllers in a zone, messages for another zone that is cut off went by way of the
+// neighbour, which is cut off too: the leader took machines that were well for silent, and the
+// replicas on them were lost.
+func TestMessagesGoByWayOfOneThatReaches(t *testing.T) {
+	c := serving(t)
+	say := func(now time.Duration, n string, hears ...string) {
+		c.Handle(now, FromPeer{Peer: n, Msg: Msg{Health: &Health{Hears: hears}}})
+	}
+	c.cfg.Peers = []string{"n1", "n2", "n3"}
+	c.peers["n3"] = &peer{}
+	say(time.Second, "n3")
+	say(4*time.Second, "n1", "n2") // the neighbour does not reach n3, and was asked first
+	say(4*time.Second, "n2", "n1", "n3")
+	if by := c.bypass("n3"); by != "n2" {
+		t.Errorf("by way of %s, which does not reach n3", by)
+	}
+	// The old version does not tell whom it reaches: all are tried.
+	say(4*time.Second, "n1")
+	say(4*time.Second, "n2")
+	tried := map[string]bool{}
+	for range 4 {
+		c.now += c.cfg.LinkLost
+		c.peers["n1"].heard, c.peers["n2"].heard = c.now, c.now
+		tried[c.bypass("n3")] = true
+	}
+	if len(tried) != 2 {
+		t.Errorf("tried %v", tried)
+	}
+}
+
+// A machine whose controller is cut off needs longer to find another than a silent one is waited
+// for. The leader has the others ask it.
+func TestOthersAskQuietMachines(t *testing.T) {
+	c := leading(t)
+	asked := map[string]int{}
+	c.leaseUntil = time.Hour
+	for now := time.Second; now < 7*time.Second; now += 100 * time.Millisecond {
+		for _, n := range c.cfg.Peers {
+			c.Handle(now, FromPeer{Peer: n, Msg: Msg{Health: &Health{}}})
+		}
+		for _, o := range outputs[ToPeer](c.Advance(now)) {
+			if len(o.Msg.Show) == 1 && o.Msg.Show[0] == "m-1" {
+				asked[o.Peer]++
+			}
+		}
+	}
+	if asked["n1"] == 0 || asked["n2"] == 0 {
+		t.Errorf("asked %v", asked)
+	}
+	// Who is asked asks the machine, or tells what it has heard.
+	for _, heard := range []bool{false, true} {
+		c := leading(t)
+		if now := 8 * time.Second; heard {
+			c.Handle(now, Beat{Req: 9, Report: report(2)})
+		}
+		c.Advance(8 * time.Second)
+		c.machine("m-1").shown = 0
+		c.Handle(8100*time.Millisecond, FromPeer{Peer: "n1", Msg: Msg{Show: []string{"m-1", "m-unknown"}}})
+		probes, told := 0, 0
+		for _, o := range c.Advance(8100 * time.Millisecond) {
+			switch o := o.(type) {
+			case Probe:
+				probes++
+			case ToPeer:
+				if o.Peer == "n1" {
+					told += len(o.Msg.Reports)
+				}
+			}
+		}
+		if heard && told == 0 || !heard && probes == 0 {
+			t.Errorf("heard %v: %d probes, %d reports told", heard, probes, told)
+		}
+	}
+}
+
 // A machine on which different jobs fail is not used; a job that fails everywhere is no proof.
 func TestFaultyMachine(t *testing.T) {
 	c := leading(t)
--- a/core/lead.go
+++ b/core/lead.go
@@ -46,6 +46,7 @@
 	listAt   time.Duration
 	listed   bool
 	listing  bool
+	asks     int    // rounds in which others were asked for quiet machines
 	listFrom string // the next page begins after this machine
 
 	rentals  map[string]*rental
@@ -433,11 +434,15 @@
 			}
 		}
 	}
+	var others []string // machines that others are to ask
 	for _, m := range c.alive {
 		if m.gone || m.lead.why != "" {
 			continue
 		}
 		quiet := c.now - m.heard
+		if m.up && quiet > c.reportDue() {
+			others = append(others, m.name)
+		}
 		m.lead.cut = m.up && zones[m.zone] != nil && quiet > c.reportDue()
 		switch {
 		case !m.up:
@@ -457,6 +462,7 @@
 			c.probe(m)
 		}
 	}
+	l.askOthers(c, others)
 }
 
 // cutPatience is how long the machines of a silent zone are kept. The zone may only be cut off:
--- a/core/orders.go
+++ b/core/orders.go
@@ -156,12 +156,7 @@
 
 // otherWay is the peer by which a machine that does not answer is tried, every other time.
 func (c *Core) otherWay(m *machine) string {
-	var in []string
-	for _, n := range c.cfg.Peers {
-		if c.linked(n) {
-			in = append(in, n)
-		}
-	}
+	in := c.inReach("")
 	if m.misses%2 == 0 || len(in) == 0 {
 		return ""
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -31,14 +31,30 @@
 	}
 }
 
-// bypass is a peer in reach other than the named one, or "".
-func (c *Core) bypass(not string) string {
+// bypass is a peer in reach that reaches the named one, or "". As long as none says that it does,
+// all in reach are tried in turn: one in the same zone is cut off from the other zone as well.
+func (c *Core) bypass(to string) string {
+	in := c.inReach(to)
+	for _, n := range in {
+		if slices.Contains(c.peers[n].hears, to) {
+			return n
+		}
+	}
+	if len(in) == 0 {
+		return ""
+	}
+	return in[int(c.now/c.cfg.LinkLost)%len(in)]
+}
+
+// inReach lists the peers in reach but one.
+func (c *Core) inReach(not string) []string {
+	var out []string
 	for _, n := range c.cfg.Peers {
 		if n != not && c.linked(n) {
-			return n
+			out = append(out, n)
 		}
 	}
-	return ""
+	return out
 }
 
 // tellHealth tells the others whether the state service is in reach here. A controller that
@@ -48,7 +64,7 @@
 		c.healthAt = c.now + healthEvery
 		c.used += (c.spent/healthEvery.Seconds() - c.used) / 2
 		c.spent = 0
-		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.used}}})
+		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.used, Hears: c.inReach("")}}})
 		c.shareBudget()
 	}
 }
@@ -174,7 +190,7 @@
 		c.ordered(*m.Ordered)
 	}
 	if m.Health != nil {
-		p.stateOK, p.used = m.Health.StateOK, max(0, m.Health.Used)
+		p.stateOK, p.used, p.hears = m.Health.StateOK, max(0, m.Health.Used), m.Health.Hears
 	}
 	for _, r := range m.Reports {
 		if r != nil {
@@ -187,6 +203,7 @@
 	if len(m.Want) > 0 {
 		c.sendWanted(in.Peer, m.Want)
 	}
+	c.show(in.Peer, m.Show)
 	if m.Deltas != nil {
 		if c.lead != nil {
 			c.lead.take(c, in.Peer, m.Deltas)
@@ -224,6 +241,36 @@
 	}
 }
 
+// show asks machines for their reports on behalf of a controller that may not reach them; of
+// those that reported here it tells at once.
+func (c *Core) show(peer string, names []string) {
+	var known []string
+	for _, n := range names {
+		i, ok := c.machineIdx[n]
+		if !ok {
+			continue
+		}
+		if m := c.machines[i]; c.now-m.heard <= c.reportDue() {
+			known = append(known, n)
+		} else if !m.gone {
+			c.probe(m)
+		}
+	}
+	c.sendWanted(peer, known)
+}
+
+// askOthers has one of the others after the other ask quiet machines for their reports. Two zones
+// may be cut off from each other: the machines of one that had reported to the other are well,
+// but take longer to find a controller in reach than a silent machine is waited for.
+func (l *lead) askOthers(c *Core, quiet []string) {
+	in := c.inReach("")
+	if len(quiet) == 0 || len(in) == 0 {
+		return
+	}
+	l.asks++
+	c.tell(in[l.asks%len(in)], Msg{Show: quiet})
+}
+
 // pushed takes the leader's array, or the rows of it that changed, and repeats on them what the
 // leader had not counted yet.
 func (c *Core) pushed(p *Push) {
--- a/core/types.go
+++ b/core/types.go
@@ -260,6 +260,7 @@
 	Resend  bool           `json:"a,omitempty"` // the sender missed a push
 	Return  []string       `json:"s,omitempty"` // machines that the leader must return
 	Silent  []string       `json:"q,omitempty"` // machines that the sender does not hear of
+	Show    []string       `json:"l,omitempty"` // machines to be asked for their reports: the sender may not reach them
 }
 
 // Heard is a report that says nothing new. The digest shows whether its receiver knows what the
@@ -274,8 +275,9 @@
 
 // Health tells how a controller stands.
 type Health struct {
-	StateOK bool    `json:"ok"` // it reached the state service of late
-	Used    float64 `json:"u"`  // changes of the state service a second that it made of late
+	StateOK bool     `json:"ok"`          // it reached the state service of late
+	Used    float64  `json:"u"`           // changes of the state service a second that it made of late
+	Hears   []string `json:"n,omitempty"` // controllers in reach; the version without forms does not tell
 }
 
 // Deltas is a batch of start and finish tuples.
