--- a/controller.go
+++ b/controller.go
@@ -80,6 +80,7 @@
 		CancelShare: t.GetCancelShare(),
 		WholePush:   ms(t.GetWholePushMs()), PushGap: ms(t.GetPushGapMs()), OrderAgain: ms(t.GetOrderAgainMs()), ClearWait: ms(t.GetClearMs()), PassTime: ms(t.GetPassMs()),
 		LinkLost: ms(t.GetLinkLostMs()), RoomAgain: ms(t.GetRoomAgainMs()), ListEvery: ms(t.GetListMs()), SettleMost: ms(t.GetSettleMostMs()),
+		LossGather: ms(t.GetLossGatherMs()), AcceptWait: ms(t.GetAcceptWaitMs()), HealthEvery: ms(t.GetHealthMs()), LookAll: ms(t.GetLookAllMs()), RentAhead: ms(t.GetRentAheadMs()),
 	}
 	for _, q := range p.Peers {
 		cfg.Peers = append(cfg.Peers, q.Name)
--- a/core/core.go
+++ b/core/core.go
@@ -502,7 +502,7 @@
 	// Only what changed is looked at otherwise; now and then everything is, as a safeguard against
 	// a change that nobody noted.
 	if c.loaded && c.now >= c.lookAllAt {
-		c.lookAllAt = c.now + lookAll
+		c.lookAllAt = c.now + c.cfg.LookAll
 		for _, j := range c.open {
 			c.touchLater(j)
 		}
@@ -512,8 +512,6 @@
 	}
 }
 
-const lookAll = 20 * time.Second // between two looks at everything
-
 // follow keeps the replica current: first all keys, then a watch, and barriers when asked.
 func (c *Core) follow() {
 	if !c.loaded {
@@ -1056,12 +1054,10 @@
 			continue
 		}
 		c.touchLater(j)
-		j.lookAt = max(j.lookAt, c.now+lostWait)
+		j.lookAt = max(j.lookAt, c.now+c.cfg.LossGather)
 	}
 }
 
-const lostWait = 700 * time.Millisecond
-
 // sortedTasks lists a machine's assignments in a fixed order.
 func (m *machine) sortedTasks() []asg2 {
 	out := make([]asg2, 0, len(m.asg))
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -18,7 +18,8 @@
 		WorkerLease: 20 * time.Second, CancelIn: 40 * time.Second, DeltaEvery: 50 * time.Millisecond, PushEvery: 200 * time.Millisecond,
 		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
-		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35}
+		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35,
+		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second}
 }
 
 func outputs[T Output](out []Output) []T {
--- a/core/lead.go
+++ b/core/lead.go
@@ -470,12 +470,10 @@
 // returned when those should be up. When they were returned at once, all tasks there ended
 // while nothing was up to take them.
 func (c *Core) cutPatience(m *machine) time.Duration {
-	ready := c.silent() + c.boot(m.typ) + rentTime
-	return max(c.silent(), min(ready, c.cfg.WorkerLease-rentTime))
+	ready := c.silent() + c.boot(m.typ) + c.cfg.RentAhead
+	return max(c.silent(), min(ready, c.cfg.WorkerLease-c.cfg.RentAhead))
 }
 
-const rentTime = 3 * time.Second // from a need to the rental, and from a boot to the first start
-
 // reportDue is how long a machine that is well stays quiet at most.
 func (c *Core) reportDue() time.Duration { return c.cfg.ReportEvery*5/4 + 300*time.Millisecond }
 
--- a/core/peers.go
+++ b/core/peers.go
@@ -61,16 +61,14 @@
 // has not loaded yet does so too: in an outage, the ones left need a majority's word for it.
 func (c *Core) tellHealth() {
 	if c.now >= c.healthAt {
-		c.healthAt = c.now + healthEvery
-		c.used += (c.spent/healthEvery.Seconds() - c.used) / 2
+		c.healthAt = c.now + c.cfg.HealthEvery
+		c.used += (c.spent/c.cfg.HealthEvery.Seconds() - c.used) / 2
 		c.spent = 0
 		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.used, Hears: c.inReach("")}}})
 		c.shareBudget()
 	}
 }
 
-const healthEvery = 500 * time.Millisecond
-
 func (c *Core) tellPeers() {
 	if c.now >= c.deltaAt {
 		c.deltaAt = c.now + c.cfg.DeltaEvery
--- a/core/plan.go
+++ b/core/plan.go
@@ -267,7 +267,7 @@
 			quickest = c.boot(name)
 		}
 	}
-	return quickest + rentTime
+	return quickest + c.cfg.RentAhead
 }
 
 // boot is the nominal boot time of a machine type; 0 if the type is not known.
--- a/core/types.go
+++ b/core/types.go
@@ -63,7 +63,12 @@
 	LinkLost    time.Duration
 	RoomAgain   time.Duration
 	ListEvery   time.Duration
-	CancelShare float64 // of CancelIn, after which machines with cancelled tasks are returned
+	LossGather  time.Duration // how long the losses of a job of many tasks wait for each other
+	AcceptWait  time.Duration // for the write of a submission or cancellation
+	HealthEvery time.Duration
+	LookAll     time.Duration // between two looks at everything
+	RentAhead   time.Duration // from a need to the rental, and from a boot to the first start
+	CancelShare float64       // of CancelIn, after which machines with cancelled tasks are returned
 }
 
 // Team is a team with its guarantee and limit in thousandths; 0 means none.
--- a/core/users.go
+++ b/core/users.go
@@ -141,7 +141,7 @@
 		})
 	default:
 		// More than the state service takes until they would be refused are refused at once.
-		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.writeRPS()*acceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
+		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.writeRPS()*c.cfg.AcceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
 			c.refuse(in.Req, "too busy")
 			return
 		}
@@ -151,13 +151,11 @@
 			return
 		}
 		c.accepting++
-		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + acceptWait}
+		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + c.cfg.AcceptWait}
 		c.touch(j)
 	}
 }
 
-const acceptWait = 1500 * time.Millisecond // for the write of a submission or cancellation
-
 // repeat answers the submission of a job that is known.
 func (c *Core) repeat(req uint64, j *job) {
 	if j.final() {
@@ -314,7 +312,7 @@
 	}
 	j.cancels = append(j.cancels, in.Req)
 	j.cancelMS = in.UnixMS
-	j.cancelBy = c.now + acceptWait
+	j.cancelBy = c.now + c.cfg.AcceptWait
 	c.touch(j)
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -149,7 +149,8 @@
 		ProbeRatio: 2, PreferImage: true, PreferSpot: true, SpareShare: 0.2, Idle: 5 * time.Second, Silent: 4 * time.Second,
 		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
-		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35}
+		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35,
+		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second}
 	if w.opt.Upgrade && !n.old {
 		cfg.ValueBytes, cfg.TxnOps, cfg.NextWriteRPS = next.value, next.ops, next.rate
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -180,6 +180,7 @@
 		SettleMs: ptr(uint32(300)), CancelShare: ptr(0.35),
 		WholePushMs: ptr(uint32(10000)), PushGapMs: ptr(uint32(100)), OrderAgainMs: ptr(uint32(1000)), ClearMs: ptr(uint32(2000)), PassMs: ptr(uint32(3000)),
 		LinkLostMs: ptr(uint32(1500)), RoomAgainMs: ptr(uint32(4000)), ListMs: ptr(uint32(2500)), SettleMostMs: ptr(uint32(2000)),
+		LossGatherMs: ptr(uint32(700)), AcceptWaitMs: ptr(uint32(1500)), HealthMs: ptr(uint32(500)), LookAllMs: ptr(uint32(20000)), RentAheadMs: ptr(uint32(3000)),
 	}
 }
 
@@ -229,6 +230,11 @@
 		{"link_lost_ms", float64(t.GetLinkLostMs()), 600, 30000},
 		{"room_again_ms", float64(t.GetRoomAgainMs()), 500, 60000},
 		{"list_ms", float64(t.GetListMs()), 500, 60000},
+		{"loss_gather_ms", float64(t.GetLossGatherMs()), 0, 5000},
+		{"accept_wait_ms", float64(t.GetAcceptWaitMs()), 100, 1800},
+		{"health_ms", float64(t.GetHealthMs()), 100, 1000},
+		{"look_all_ms", float64(t.GetLookAllMs()), 1000, 600000},
+		{"rent_ahead_ms", float64(t.GetRentAheadMs()), 0, 60000},
 		{"settle_most_ms", float64(t.GetSettleMostMs()), 0, 2500},
 	} {
 		if !(r.v >= r.min && r.v <= r.max) {
