--- a/core/core.go
+++ b/core/core.go
@@ -276,7 +276,6 @@
 	typesKept wire.Catalog // as the state service holds it
 	typesBusy bool
 	catalogOp bool
-	imageGB   map[string]float64 // sizes of images, as submissions to this controller named them
 	lead      *lead
 	classes   map[string]*classStat
 	clouds    map[uint64]func(Clouded)
@@ -315,7 +314,7 @@
 func New(cfg Config, now time.Duration, seed uint64) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
-		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, imageGB: map[string]float64{}, txns: map[uint64]*txn{},
+		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
 		settle: cfg.Settle}
 	c.copy.Expire = cfg.CopyExpire
--- a/core/place.go
+++ b/core/place.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"encoding/json"
 	"math"
 	"slices"
@@ -735,7 +734,7 @@
 			t += 200
 		}
 		if c.cfg.PreferImage && s.Image != "" && !m.images[s.Image] {
-			t += 100 + int(min(95, c.fetchTime(s, m)/(100*time.Millisecond)))
+			t += 100
 		}
 		// A machine is paid for until its last task ends: a task that ends before costs nothing.
 		// A replica stays for good: on a machine that has none, it would keep it for itself alone.
@@ -791,29 +790,6 @@
 	return 0
 }
 
-// sawImage keeps the size of an image.
-func (c *Core) sawImage(s *wire.Spec) {
-	if s.Image == "" || s.ImageGB == 0 {
-		return
-	}
-	if len(c.imageGB) >= imagesKept {
-		clear(c.imageGB)
-	}
-	c.imageGB[s.Image] = s.ImageGB
-}
-
-const imagesKept = 10_000
-
-// fetchTime is how long a machine should take to fetch a job's image. A controller that has not
-// seen its size takes it for a gigabyte: kinds of machines differ in their rate all the same.
-func (c *Core) fetchTime(s *wire.Spec, m *machine) time.Duration {
-	t := c.catalog[m.typ]
-	if t == nil || !(t.FetchRate > 0) {
-		return 0
-	}
-	return times(time.Second, cmp.Or(c.imageGB[s.Image], 1)/t.FetchRate)
-}
-
 const forever = time.Hour
 
 // horizon is how long a machine's tasks are expected to keep it; services keep it forever. It
--- a/core/users.go
+++ b/core/users.go
@@ -151,7 +151,6 @@
 			return
 		}
 		c.accepting++
-		c.sawImage(&in.Spec)
 		j.accept = &accept{reqs: []uint64{in.Req}, spec: in.Spec, unixMS: in.UnixMS, since: c.now, until: c.now + c.cfg.AcceptWait}
 		c.touch(j)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -82,7 +82,6 @@
 	SaveMS     int64    `json:"sa,omitempty"`
 	DeadlineMS int64    `json:"dl,omitempty"`
 	Saves      bool     `json:"cp,omitempty"`
-	ImageGB    float64  `json:"-"`
 	Awaits     []string `json:"aw,omitempty"` // ids of jobs that must be done first, sorted
 }
 
@@ -200,9 +199,6 @@
 	if s.Image != nil {
 		sp.Image = *s.Image
 	}
-	if s.ImageGB != nil {
-		sp.ImageGB = *s.ImageGB
-	}
 	if s.Zone != nil {
 		sp.Zone = *s.Zone
 	}
