--- a/core/plan.go
+++ b/core/plan.go
@@ -27,11 +27,8 @@
 	atMS   int64 // time of day of the last one's acceptance
 }
 
-// sawJob keeps the mean size of the jobs of a class that come unforeseen, for spare room.
+// sawJob keeps the mean size of the jobs of a class, for spare room.
 func (c *Core) sawJob(r *record) {
-	if len(r.Spec.Awaits) > 0 {
-		return // what comes after others is known ahead: see needs
-	}
 	if c.classes == nil {
 		c.classes = map[string]*classStat{}
 	}
@@ -73,7 +70,6 @@
 	n       int
 	zones   map[string]int
 	reserve bool
-	ahead   bool // its job waits for others, which should end before a new machine could be up
 	standby bool // the tasks still run, on machines that will probably be returned
 	prio    int
 	at      int64
@@ -314,7 +310,7 @@
 			asked[o] = true
 			if in, ok := c.readyIn(o); ok && in < c.bootTime(o.rec.Spec) {
 				out = append(out, need{job: o, spec: o.rec.Spec, n: min(o.rec.Spec.Tasks, c.maxPlaced()), zones: map[string]int{},
-					reserve: true, ahead: true, prio: o.prio, at: o.turn()})
+					reserve: true, prio: o.prio, at: o.turn()})
 			}
 		}
 		if j.waits > 0 {
@@ -520,7 +516,7 @@
 		n.n -= c.makeRoom(n, h.bins, room)
 	}
 	fill(func(*bin) bool { return true })
-	if !n.reserve || n.ahead {
+	if !n.reserve {
 		for _, b := range shelf {
 			if n.n <= 0 {
 				return now
