--- a/core/core_test.go
+++ b/core/core_test.go
@@ -169,6 +169,12 @@
 	if err != nil || len(p.place) != 500 {
 		t.Fatalf("%d of 500 tasks placed (%v)", len(p.place), err)
 	}
+	keepsAll(t, c, raw, p.place)
+}
+
+// keepsAll checks that a record says all of its assignments.
+func keepsAll(t *testing.T, c *Core, raw json.RawMessage, place []asg) {
+	t.Helper()
 	r, err := decodeRecord(raw)
 	if err != nil {
 		t.Fatal(err)
@@ -177,7 +183,7 @@
 	for _, a := range c.unpack(r) {
 		back[a] = true
 	}
-	for _, a := range p.place {
+	for _, a := range place {
 		if !back[a] {
 			t.Fatalf("%+v was lost", a)
 		}
--- a/core/form_test.go
+++ b/core/form_test.go
@@ -338,19 +338,7 @@
 	if err != nil || len(p.place) != 500 || len(raw) > 1700 {
 		t.Fatalf("%d of 500 tasks placed in %d bytes (%v)", len(p.place), len(raw), err)
 	}
-	r, err := decodeRecord(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	back := map[asg]bool{}
-	for _, a := range c.unpack(r) {
-		back[a] = true
-	}
-	for _, a := range p.place {
-		if !back[a] {
-			t.Fatalf("%+v was lost", a)
-		}
-	}
+	keepsAll(t, c, raw, p.place)
 }
 
 // A packed value that was damaged is an error, never a crash.
