--- a/internal/sim/upgrade.go
+++ b/internal/sim/upgrade.go
@@ -14,7 +14,8 @@
 // keeps to them from its start.
 var next = limits{ops: 4, value: 2048, rate: 30}
 
-// upgrade replaces the processes one by one, and has the limits fall at some moment after it.
+// upgrade replaces the processes one by one, and has the limits fall at some moment after it, or
+// even during it. A process that dies before its turn comes back old.
 func (w *World) upgrade() {
 	at := w.between(15*time.Second, 40*time.Second)
 	for _, n := range w.nodes {
@@ -23,6 +24,10 @@
 		w.after(at, func() { w.replace(n) })
 		at += w.between(3*time.Second, 15*time.Second)
 	}
+	if w.chance(0.2) { // sooner than announced
+		w.after(w.between(15*time.Second, at), w.fall)
+		return
+	}
 	w.after(at+w.between(0, 20*time.Second), w.fall)
 }
 
@@ -35,7 +40,7 @@
 	}
 }
 
-// fall has the announced limits come into force, once every process is new.
+// fall has the announced limits come into force.
 func (w *World) fall() {
 	w.Trace("%v the limits fall", w.now)
 	w.state.limits = next
