--- a/core/core.go
+++ b/core/core.go
@@ -131,6 +131,7 @@
 	backoff  time.Duration
 	pending  bool  // has tasks to place now
 	lost     bool  // tasks of it are gone, and must be started again
+	missing  int   // replicas of it that are gone, as of the last turn that ordered writes
 	placedMS int64 // time of day when tasks of it were placed last
 	size     int   // of its record, as it is stored
 
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -764,6 +764,37 @@
 	}
 }
 
+// A lost zone's replicas restart with a write for each job: those with most replicas come first.
+func TestMostLostReplicasAreWrittenFirst(t *testing.T) {
+	c := leading(t)
+	for i, n := range []int{1, 3, 2} {
+		in := submitted("wk-" + strconv.Itoa(i+1))
+		in.Req, in.Spec.Service, in.Spec.Tasks, in.Spec.Claim = uint64(i+1), true, n, [3]int64{100, 0, 100}
+		c.Handle(time.Second+time.Duration(i)*100*time.Millisecond, in)
+		drive(c, c.now, c.now+100*time.Millisecond)
+	}
+	drive(c, c.now, 3*time.Second)
+	for i, n := range []int{1, 3, 2} {
+		if got := len(c.job("wk-" + strconv.Itoa(i+1)).place); got != n {
+			t.Fatalf("%d of %d replicas placed", got, n)
+		}
+	}
+	c.markGone(c.machine("m-1"))
+	var order []string
+	c.writes = 100
+	c.cfg.TxnOps = 12
+	for _, o := range outputs[Commit](c.Advance(3 * time.Second)) {
+		for _, w := range o.Txn.Then {
+			if strings.HasPrefix(w.Put, keyJob) {
+				order = append(order, w.Put[len(keyJob):])
+			}
+		}
+	}
+	if !slices.Equal(order, []string{"wk-2", "wk-3", "wk-1"}) {
+		t.Errorf("written in the order %v", order)
+	}
+}
+
 // Several of the cloud's few calls a second asked for one kind of machine at a time, and when it
 // was used up, all of them were in vain.
 func TestEachKindIsAskedForBeforeAnyTwice(t *testing.T) {
--- a/core/place.go
+++ b/core/place.go
@@ -290,6 +290,9 @@
 		}
 	}
 	c.settle = min(c.cfg.SettleMost, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.writeRate)*float64(time.Second))))
+	for _, j := range todo {
+		j.missing = c.lostReplicas(j)
+	}
 	slices.SortStableFunc(todo, func(a, b *job) int {
 		if d := c.urgency(a) - c.urgency(b); d != 0 {
 			return d
@@ -325,7 +328,22 @@
 	writesKept   = 2 // changes left for what users wait for
 )
 
-// before orders jobs for placement.
+// lostReplicas counts a job's replicas that are gone.
+func (c *Core) lostReplicas(j *job) int {
+	n := 0
+	if j.lost && j.rec != nil && j.rec.Spec != nil && j.rec.Spec.Service {
+		for _, a := range j.place {
+			if ended, _ := c.fate(j, a); ended {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// before orders jobs for placement: by priority, then those with most replicas to restart, then by
+// their turn. A lost zone takes replicas of nearly every service with it, and each takes a
+// write: in the order of their age, half of all replicas waited for half of the writes.
 func (c *Core) before(a, b *job) int {
 	p := func(j *job) (int, int64) {
 		switch {
@@ -341,6 +359,8 @@
 	switch {
 	case pa != pb:
 		return pa - pb
+	case a.missing != b.missing:
+		return b.missing - a.missing
 	case ta < tb:
 		return -1
 	case ta > tb:
