A cut-off machine is given up early for a deadline, unless replicas serve on there

Tasks of their pipelines stayed on the machines of a cut-off zone until others had been rented, 28 s of some 60 to 75 s that a pipeline has to spare. Ruled out: placement (stages start within 2 s of being ready), the change budget, waiting for room.

--- a/core/awaits_test.go
+++ b/core/awaits_test.go
@@ -234,3 +234,26 @@
 		}
 	}
 }
+
+// Tasks of a pipeline stayed on the machines of a cut-off zone until others had been rented, and its
+// last job was late. A machine that holds such a task is given up as soon as it counts as silent,
+// unless replicas serve on there.
+func TestCutMachineIsGivenUpForADeadline(t *testing.T) {
+	for _, tc := range []struct {
+		due     int64
+		service bool
+		want    bool
+	}{{0, false, false}, {60_000, false, false}, {20_000, false, true}, {20_000, true, false}} {
+		c := piped(t)
+		m := c.machine("m-1")
+		a := known(c, 100, wire.Spec{EstimateMS: 10_000}, "wk-1", stQueued)
+		known(c, 101, wire.Spec{EstimateMS: 5_000, DeadlineMS: tc.due}, "wk-2", stQueued, "wk-1")
+		s := known(c, 102, wire.Spec{Service: tc.service}, "wk-3", stQueued)
+		for _, j := range []*job{a, s} {
+			m.asg[taskKey{j.idx, 0}] = asg{0, m.idx, 1, 1}
+		}
+		if got := c.hurried(m, 10*time.Second); got != tc.want {
+			t.Errorf("due %d, replica %v: given up %v", tc.due, tc.service, got)
+		}
+	}
+}
--- a/core/lead.go
+++ b/core/lead.go
@@ -452,7 +452,7 @@
 			}
 		case m.noticed > 0 && c.now > m.noticed-1500*time.Millisecond:
 			c.mustReturn(m, "its notice runs out")
-		case m.lead.cut && quiet < c.cutPatience(m):
+		case m.lead.cut && quiet < c.cutPatience(m) && !c.hurried(m, c.cutPatience(m)-quiet):
 			c.probe(m)
 		case quiet > c.silent() && (!deaf || quiet > c.cfg.WorkerLease+10*time.Second) && c.now-l.since > c.silent():
 			c.mustReturn(m, "silent")
@@ -474,6 +474,24 @@
 	return max(c.silent(), min(ready, c.cfg.WorkerLease-c.cfg.RentAhead))
 }
 
+// hurried reports whether waiting would make a task of a machine late for a deadline, its job's or
+// that of one which needs it. Machines with replicas are not given up for it: these serve on.
+func (c *Core) hurried(m *machine, wait time.Duration) bool {
+	late := false
+	for k, a := range m.asg {
+		j := c.jobs[k.job]
+		s := j.rec.Spec
+		if s == nil || j.final() || m.pieces[attKey{k.job, k.task, a.try}].state == wire.TaskExited {
+			continue
+		}
+		if s.Service {
+			return false
+		}
+		late = late || j.dueMS != 0 && c.unixMS()+wait.Milliseconds()+s.EstimateMS > j.dueMS
+	}
+	return late
+}
+
 // reportDue is how long a machine that is well stays quiet at most.
 func (c *Core) reportDue() time.Duration { return c.cfg.ReportEvery*5/4 + 300*time.Millisecond }
 
