The checker keeps its index of pipelines whole; a time nobody read is gone

The checker walked the jobs that need a cancelled one in place, and could overwrite its own index: later cancellations might then have been followed to the wrong jobs. With it mended all simulated worlds of the tests still hold. txn.sent was written and never read. Behaviour is unchanged.

--- a/core/place.go
+++ b/core/place.go
@@ -15,7 +15,6 @@
 	props []proposal
 	teams []*team
 	done  func(status int, r wire.TxnReply)
-	sent  time.Duration
 	txn   wire.Txn
 }
 
@@ -37,7 +36,7 @@
 // commit sends a transaction and pays for it.
 func (c *Core) commit(t wire.Txn, x *txn) {
 	id := c.id()
-	x.sent, x.txn = c.now, t
+	x.txn = t
 	c.txns[id] = x
 	c.writes -= float64(len(t.Then))
 	c.spent += float64(len(t.Then))
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -67,7 +67,7 @@
 func (k *Checker) doom(j *truth, at time.Duration) {
 	for list := k.next[j.spec.ID]; len(list) > 0; {
 		n := list[len(list)-1]
-		list = list[:len(list)-1]
+		list = list[: len(list)-1 : len(list)-1] // the index keeps its own
 		if !n.doomed {
 			n.doomed, n.doomedAt = true, at
 			list = append(list, k.next[n.spec.ID]...)
