--- a/api/api.go
+++ b/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"dewlift/access"
+	"dewlift/audit"
 	"dewlift/core"
 	pb "dewlift/proto"
 	"dewlift/wire"
@@ -40,16 +41,21 @@
 	pending map[uint64]chan core.Reply
 	gate    *gate
 	tls     *tls.Config
+
+	refusedMu sync.Mutex
+	refused   audit.Gather
 }
 
 const (
+	mostRefused = 8 << 10 // bytes of refused requests that are told apart
+
 	userWait = 1900 * time.Millisecond // users wait 2 s for a poll
 	beatWait = 3 * time.Second         // workers wait 4 s
 )
 
 // New returns a server; bound is how far the time of day may be off. Without TLS settings it is in plain text.
 func New(svc Service, bound time.Duration, secure *tls.Config, log *slog.Logger) *Server {
-	return &Server{svc: svc, log: log, pending: map[uint64]chan core.Reply{}, gate: newGate(bound), tls: secure}
+	return &Server{svc: svc, log: log, pending: map[uint64]chan core.Reply{}, gate: newGate(bound), tls: secure, refused: audit.Gather{Most: mostRefused}}
 }
 
 // SetRights puts rights in force: from now on, requests need a token.
@@ -71,7 +77,7 @@
 		if status == 0 {
 			return h(c, by)
 		}
-		s.log.Info("refused", "path", c.Path(), "status", status, "why", why)
+		s.refuse(c, status, why)
 		if status == fiber.StatusTooManyRequests {
 			c.Set(fiber.HeaderRetryAfter, "1")
 		} else {
@@ -81,6 +87,22 @@
 	}
 }
 
+// refuse notes a request of somebody who has not proven who they are.
+func (s *Server) refuse(c fiber.Ctx, status int, why string) {
+	path := string([]byte(c.Path())) // the request's memory is used again
+	s.log.Info("refused", "path", path, "status", status, "why", why)
+	s.refusedMu.Lock()
+	defer s.refusedMu.Unlock()
+	s.refused.Add(audit.Item{Verb: c.Method(), Object: path, Why: why}, 1)
+}
+
+// Refused takes what was refused since the last call, to be recorded.
+func (s *Server) Refused() []*pb.AuditItem {
+	s.refusedMu.Lock()
+	defer s.refusedMu.Unlock()
+	return s.refused.Take(4 * mostRefused)
+}
+
 // Answer delivers a reply of the core.
 func (s *Server) Answer(r core.Reply) {
 	s.mu.Lock()
@@ -156,13 +178,27 @@
 	})
 	app.Get(wire.PathSite, s.as(func(c fiber.Ctx, by core.Cred) error {
 		err := s.ask(c, userWait, func(req uint64) core.Input {
-			return core.Check{Req: req, By: by, Verb: pb.Verb_administer, Object: "site"}
+			object := "site"
+			if c.Query("for") == wire.ForSnapshot {
+				object = "snapshot"
+			}
+			return core.Check{Req: req, By: by, Verb: pb.Verb_administer, Object: object}
 		})
 		if err != nil || c.Response().StatusCode() != fiber.StatusOK {
 			return err
 		}
 		return c.JSON(s.svc.Site())
 	}))
+	app.Get(wire.PathAudit, s.as(func(c fiber.Ctx, by core.Cred) error {
+		in := core.ReadAudit{By: by, Node: string([]byte(c.Query("node")))}
+		if after := c.Query("after"); after != "" {
+			var err error
+			if in.After, err = strconv.ParseUint(after, 10, 64); err != nil {
+				return c.Status(fiber.StatusBadRequest).JSON(wire.Error{Error: "after: not the number of a block"})
+			}
+		}
+		return s.ask(c, userWait, func(req uint64) core.Input { in.Req = req; return in })
+	}))
 	app.Get(wire.PathAccess, s.as(func(c fiber.Ctx, by core.Cred) error {
 		return s.ask(c, userWait, func(req uint64) core.Input { return core.ShowRights{Req: req, By: by} })
 	}))
@@ -200,7 +236,9 @@
 		var by core.Cred
 		if p := s.gate.policy.Load(); p != nil && p.WorkersSign() {
 			var status int
-			if by, status, _ = s.gate.who(c.Get(fiber.HeaderAuthorization), commonName(c), time.Now()); status != 0 {
+			var why string
+			if by, status, why = s.gate.who(c.Get(fiber.HeaderAuthorization), commonName(c), time.Now()); status != 0 {
+				s.refuse(c, status, why)
 				return c.Status(status).JSON(wire.Error{Error: access.ErrToken.Error()})
 			}
 		}
--- a/archive/block.go
+++ b/archive/block.go
@@ -139,7 +139,7 @@
 // value is a block as the state service holds it.
 type value struct {
 	Digest uint64 `json:"x,string"` // xxHash64 of Data
-	Data   []byte `json:"z"`        // a pb.Block, compressed
+	Data   []byte `json:"z"`        // a message, compressed
 }
 
 // Encode renders a block.
@@ -179,7 +179,12 @@
 		}
 		m.Details = append(m.Details, d)
 	}
-	raw, err := protobuf.MarshalOptions{Deterministic: true}.Marshal(&m)
+	return Pack(&m)
+}
+
+// Pack renders a message as a value, compressed and with a digest.
+func Pack(m protobuf.Message) (json.RawMessage, error) {
+	raw, err := protobuf.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode block: %w", err)
 	}
@@ -190,23 +195,31 @@
 	return json.Marshal(value{Digest: xxhash.Sum64(data), Data: data})
 }
 
-// Decode reads what Encode wrote. Whatever is not exactly that is an error that wraps ErrCorrupt:
-// a damaged block must not answer for a job that it may have held.
-func Decode(raw json.RawMessage) (*Block, error) {
+// Unpack is the reverse of Pack; its errors wrap ErrCorrupt.
+func Unpack(raw json.RawMessage, m protobuf.Message) error {
 	var v value
 	if err := json.Unmarshal(raw, &v); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	if xxhash.Sum64(v.Data) != v.Digest {
-		return nil, fmt.Errorf("%w: its digest does not match", ErrCorrupt)
+		return fmt.Errorf("%w: its digest does not match", ErrCorrupt)
 	}
 	plain, err := squeeze.Inflate(v.Data, mostExpanded)
+	if err == nil {
+		err = protobuf.Unmarshal(plain, m)
+	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
+	return nil
+}
+
+// Decode reads what Encode wrote. Whatever is not exactly that is an error that wraps ErrCorrupt:
+// a damaged block must not answer for a job that it may have held.
+func Decode(raw json.RawMessage) (*Block, error) {
 	var m pb.Block
-	if err := protobuf.Unmarshal(plain, &m); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	if err := Unpack(raw, &m); err != nil {
+		return nil, err
 	}
 	b, err := fromMessage(&m)
 	if err != nil {
--- a/cmd/dewlift/access.go
+++ b/cmd/dewlift/access.go
@@ -343,11 +343,16 @@
 	if err != nil {
 		return fmt.Errorf("write key: %w", err)
 	}
+	return writeSecret(path, append(raw, '\n'))
+}
+
+// writeSecret writes a new file that only its owner can read.
+func writeSecret(path string, raw []byte) error {
 	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
 	if err != nil {
 		return fmt.Errorf("write key: %w", err)
 	}
-	if _, err = f.Write(append(raw, '\n')); err == nil {
+	if _, err = f.Write(raw); err == nil {
 		err = f.Sync()
 	}
 	if err := errors.Join(err, f.Close()); err != nil {
--- /dev/null
+++ b/cmd/dewlift/audit.go
@@ -0,0 +1,511 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+	_ "time/tzdata" // a controller's machine may have no zones
+
+	"github.com/spf13/cobra"
+
+	"dewlift/access"
+	"dewlift/audit"
+	"dewlift/audit/report"
+	"dewlift/internal/call"
+	pb "dewlift/proto"
+	"dewlift/settings"
+	"dewlift/snapshot"
+	"dewlift/wire"
+)
+
+// leastAuditOps is how many changes a transaction takes at least where something is recorded: a controller's first block,
+// the chain's head, its settings, and the sign that something is recorded.
+const leastAuditOps = 4
+
+// auditKeyOf reads the key that rights name; none, nothing is recorded.
+func auditKeyOf(rights *access.Policy, p *settings.Platform) (audit.Key, error) {
+	path := rights.Source().AuditKey
+	if path == "" {
+		return nil, nil
+	}
+	for _, n := range []*int{&p.Cluster.State.TxnOps, p.Cluster.State.Next.TxnOps} {
+		if n != nil && *n < leastAuditOps {
+			return nil, fmt.Errorf("audit_key: a record needs cluster.state.txn_ops of at least %d", leastAuditOps)
+		}
+	}
+	return loadAuditKey(path)
+}
+
+func loadAuditKey(path string) (audit.Key, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read audit key: %w", err)
+	}
+	k, err := audit.ParseKey(string(raw))
+	if err != nil {
+		return nil, fmt.Errorf("audit key %s: %w", path, err)
+	}
+	return k, nil
+}
+
+// chains is where blocks are read: from a site, or from a saved state.
+type chains interface {
+	heads(ctx context.Context) ([]wire.AuditHead, error)
+	blocks(ctx context.Context, node string, after uint64) (wire.AuditPage, error)
+}
+
+// siteChains reads through a controller, in somebody's name.
+type siteChains struct {
+	me     *self
+	server string
+}
+
+const auditTries = 30 // of a page, a second or so apart, while a controller is busy
+
+func get[T any](ctx context.Context, s *siteChains, query string) (T, error) {
+	for try := 1; ; try++ {
+		r, err := s.me.ask(ctx, http.MethodGet, s.server, wire.PathAudit+query, nil)
+		if err != nil {
+			var none T
+			return none, err
+		}
+		if busy := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests; busy && try < auditTries {
+			select {
+			case <-time.After(time.Second):
+				continue
+			case <-ctx.Done():
+				var none T
+				return none, ctx.Err()
+			}
+		}
+		out, r := call.Get[T](r)
+		return out, answered(s.server, r)
+	}
+}
+
+func (s *siteChains) heads(ctx context.Context) ([]wire.AuditHead, error) {
+	h, err := get[wire.AuditHeads](ctx, s, "")
+	return h.Heads, err
+}
+
+func (s *siteChains) blocks(ctx context.Context, node string, after uint64) (wire.AuditPage, error) {
+	return get[wire.AuditPage](ctx, s, fmt.Sprintf("?node=%s&after=%d", url.QueryEscape(node), after))
+}
+
+// savedChains are those of a snapshot.
+type savedChains map[string][]wire.AuditBlock
+
+func readSaved(path string) (savedChains, error) {
+	out := savedChains{}
+	_, err := snapshot.ReadFile(path, func(k *pb.Key) error {
+		if node, n, ok := audit.SplitBlockKey(k.Name); ok {
+			out[node] = append(out[node], wire.AuditBlock{Number: n, Value: bytes.Clone(k.Value)})
+		}
+		return nil
+	})
+	return out, err
+}
+
+func (s savedChains) heads(context.Context) ([]wire.AuditHead, error) {
+	var out []wire.AuditHead
+	for _, node := range slices.Sorted(maps.Keys(s)) {
+		out = append(out, wire.AuditHead{Node: node, Number: s[node][len(s[node])-1].Number})
+	}
+	return out, nil
+}
+
+func (s savedChains) blocks(_ context.Context, node string, after uint64) (wire.AuditPage, error) {
+	i, _ := slices.BinarySearchFunc(s[node], after+1, func(b wire.AuditBlock, n uint64) int { return cmp.Compare(b.Number, n) })
+	return wire.AuditPage{Blocks: s[node][i:]}, nil
+}
+
+// auditFlags choose what is read, and how times are shown.
+type auditFlags struct {
+	server, saved, node, zone, since, until string
+	filter                                  audit.Filter
+	location                                *time.Location
+}
+
+func (f *auditFlags) source(c *cobra.Command) {
+	c.Flags().StringVar(&f.server, "server", "127.0.0.1:8080", "address of a controller")
+	c.Flags().StringVar(&f.saved, "snapshot", "", "read a saved state instead of a site")
+	c.Flags().StringVar(&f.node, "node", "", "of this controller alone")
+}
+
+func (f *auditFlags) filters(c *cobra.Command) {
+	c.Flags().StringVar(&f.filter.Who, "who", "", "acts of an identity")
+	c.Flags().StringVar(&f.filter.Verb, "verb", "", "submit, cancel, read, administer, audit, start, take, stop, restore; of a refused request: its method")
+	c.Flags().StringVar(&f.filter.Object, "object", "", "acts on a job, an identity or whatever else")
+	c.Flags().StringVar(&f.filter.Outcome, "outcome", "", "done or refused")
+	c.Flags().StringVar(&f.since, "since", "", "from a day, or a time: 2026-12-01, 2026-12-01T14:00, or with a zone as in RFC 3339")
+	c.Flags().StringVar(&f.until, "until", "", "to the end of a day, or before a time")
+	c.Flags().StringVar(&f.zone, "tz", "UTC", "time zone of times and calendar days, as Europe/Zurich")
+}
+
+// check reads the flags that are text.
+func (f *auditFlags) check() (err error) {
+	if f.location, err = time.LoadLocation(f.zone); err != nil {
+		return fmt.Errorf("--tz: no time zone %q", f.zone)
+	}
+	if o := f.filter.Outcome; o != "" && o != audit.Done && o != audit.Refused {
+		return fmt.Errorf("--outcome: %q is neither %s nor %s", o, audit.Done, audit.Refused)
+	}
+	if f.filter.Since, err = when(f.since, f.location, 0); err != nil {
+		return fmt.Errorf("--since: %w", err)
+	}
+	if f.filter.Until, err = when(f.until, f.location, 1); err != nil {
+		return fmt.Errorf("--until: %w", err)
+	}
+	return nil
+}
+
+// when reads a time, or a calendar day: its begin, or that of so many days later, which may be 23 or 25 hours away.
+func when(text string, zone *time.Location, days int) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if t, err := time.ParseInLocation(time.DateOnly, text, zone); err == nil {
+		return time.Date(t.Year(), t.Month(), t.Day()+days, 0, 0, 0, 0, zone), nil
+	}
+	for _, form := range []string{"2006-01-02T15:04", "2006-01-02T15:04:05"} {
+		if t, err := time.ParseInLocation(form, text, zone); err == nil {
+			return t, nil
+		}
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return t, fmt.Errorf("%q is no day and no time", text)
+	}
+	return t, nil
+}
+
+func (f *auditFlags) open(me *self) (chains, error) {
+	if f.saved != "" {
+		return readSaved(f.saved)
+	}
+	return &siteChains{me, f.server}, nil
+}
+
+// ends lists the ends of the chains that are asked for.
+func (f *auditFlags) ends(ctx context.Context, s chains) ([]wire.AuditHead, error) {
+	heads, err := s.heads(ctx)
+	if err != nil || f.node == "" {
+		return heads, err
+	}
+	heads = slices.DeleteFunc(heads, func(h wire.AuditHead) bool { return h.Node != f.node })
+	if len(heads) == 0 {
+		return nil, fmt.Errorf("--node: no controller %q has recorded anything", f.node)
+	}
+	return heads, nil
+}
+
+// cursor goes through the acts of one chain.
+type cursor struct {
+	node  string
+	after uint64
+	acts  []audit.Act
+	over  bool
+}
+
+// fill sees to it that there is an act, unless there are no more.
+func (u *cursor) fill(ctx context.Context, s chains, zone *time.Location, keep func(*audit.Act) bool) error {
+	for len(u.acts) == 0 && !u.over {
+		p, err := s.blocks(ctx, u.node, u.after)
+		if err != nil {
+			return err
+		}
+		for _, raw := range p.Blocks {
+			b, err := audit.Reads(raw.Value)
+			if err != nil {
+				return fmt.Errorf("chain of %s, block %d: %w; `dewlift audit verify` tells more", u.node, raw.Number, err)
+			}
+			for _, a := range b.Acts(u.node, zone) {
+				if keep(&a) {
+					u.acts = append(u.acts, a)
+				}
+			}
+			u.after = raw.Number
+		}
+		u.over = !p.More || len(p.Blocks) == 0
+	}
+	return nil
+}
+
+// each calls do for all acts that are asked for, those of all chains merged by their times.
+func (f *auditFlags) each(ctx context.Context, me *self, do func(*audit.Act) error) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	s, err := f.open(me)
+	if err != nil {
+		return err
+	}
+	heads, err := f.ends(ctx, s)
+	if err != nil {
+		return err
+	}
+	var list []*cursor
+	for _, h := range heads {
+		list = append(list, &cursor{node: h.Node})
+	}
+	show, done := progress("reading", -1)
+	defer done()
+	for n := 0; ; n++ {
+		var next *cursor
+		for _, u := range list {
+			if err := u.fill(ctx, s, f.location, f.filter.Takes); err != nil {
+				return err
+			}
+			if len(u.acts) > 0 && (next == nil || u.acts[0].At.Before(next.acts[0].At)) {
+				next = u
+			}
+		}
+		if next == nil {
+			return nil
+		}
+		if err := do(&next.acts[0]); err != nil {
+			return err
+		}
+		next.acts = next.acts[1:]
+		show(n, -1)
+	}
+}
+
+func auditCommand(me *self) *cobra.Command {
+	cmd := &cobra.Command{Use: "audit", Short: "Read and verify the record of who did what"}
+	cmd.AddCommand(auditKeyCommand(), auditListCommand(me), auditVerifyCommand(me), auditReportCommand(me))
+	return cmd
+}
+
+func auditKeyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "key FILE", Short: "Make the key that the record is signed with", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			text, err := audit.NewKey()
+			if err != nil {
+				return err
+			}
+			return writeSecret(args[0], []byte(text))
+		},
+	}
+}
+
+func auditListCommand(me *self) *cobra.Command {
+	var f auditFlags
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use: "list", Short: "List acts, with their times, who did them and what came of them", Args: cobra.NoArgs,
+		Example: "  dewlift audit list --who potter --outcome refused --since 2026-11-30 --tz Europe/Zurich --key admin.key --server 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := cmd.OutOrStdout()
+			enc := json.NewEncoder(out)
+			return f.each(cmd.Context(), me, func(a *audit.Act) error {
+				if asJSON {
+					return enc.Encode(a)
+				}
+				return printAct(out, a)
+			})
+		},
+	}
+	f.source(cmd)
+	f.filters(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON, one act a line")
+	return cmd
+}
+
+func printAct(w io.Writer, a *audit.Act) error {
+	times, why := "", ""
+	if a.Count > 1 {
+		times = fmt.Sprintf(" (%d times)", a.Count)
+	}
+	if a.Why != "" {
+		why = ": " + a.Why
+	}
+	_, err := fmt.Fprintf(w, "%s %-8s %-12s %s %s%s %s%s\n", a.At.Format("2006-01-02T15:04:05.000Z07:00"), a.Node, cmp.Or(a.Who, "-"), a.Verb, cmp.Or(a.Object, "-"), times, a.Outcome, why)
+	return err
+}
+
+func auditVerifyCommand(me *self) *cobra.Command {
+	var f auditFlags
+	var keys []string
+	var known string
+	cmd := &cobra.Command{
+		Use: "verify", Short: "Check that no entry was altered, removed, added or moved", Args: cobra.NoArgs,
+		Long: "Check that no entry was altered, removed, added or moved since it was written. The first that was is named, and the\n" +
+			"command ends with 1. Entries cut off the end of a chain are noticed by a file of ends (--ends), which is kept\n" +
+			"elsewhere and brought up to date by each good check.",
+		Example: "  dewlift audit verify --audit-key audit.key --ends ends.json --key admin.key --server 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if len(keys) == 0 {
+				return errors.New("--audit-key is needed: without it nothing can be proven")
+			}
+			var list []audit.Key
+			for _, path := range keys {
+				k, err := loadAuditKey(path)
+				if err != nil {
+					return err
+				}
+				list = append(list, k)
+			}
+			s, err := f.open(me)
+			if err != nil {
+				return err
+			}
+			return f.verify(cmd, s, list, known)
+		},
+	}
+	f.source(cmd)
+	cmd.Flags().StringSliceVar(&keys, "audit-key", nil, "a key's file; repeated where controllers have their own, or the key was changed")
+	cmd.Flags().StringVar(&known, "ends", "", "the file of ends that were found before")
+	return cmd
+}
+
+// end is where a chain ended when it was found whole.
+type end struct {
+	Number uint64 `json:"number"`
+	Code   []byte `json:"code"`
+}
+
+func (f *auditFlags) verify(cmd *cobra.Command, s chains, keys []audit.Key, known string) error {
+	before := map[string]end{}
+	if known != "" {
+		raw, err := os.ReadFile(known)
+		if err == nil {
+			err = json.Unmarshal(raw, &before)
+		}
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return fmt.Errorf("ends %s: %w", known, err)
+		}
+	}
+	heads, err := f.ends(cmd.Context(), s)
+	if err != nil {
+		return err
+	}
+	for node := range before { // one that is there no more
+		if f.node == "" && !slices.ContainsFunc(heads, func(h wire.AuditHead) bool { return h.Node == node }) {
+			heads = append(heads, wire.AuditHead{Node: node})
+		}
+	}
+	show, done := progress("verifying", -1)
+	defer done()
+	now := maps.Clone(before)
+	total := uint64(0)
+	for _, h := range heads {
+		c := &audit.Chain{Node: h.Node, Keys: keys}
+		must := map[uint64][]byte{} // codes of blocks as others know them
+		if h.Code != nil {
+			must[h.Number] = h.Code
+		}
+		if e, ok := before[h.Node]; ok {
+			must[e.Number] = e.Code
+		}
+		for more := true; more; {
+			p, err := s.blocks(cmd.Context(), h.Node, c.Number)
+			if err != nil {
+				return err
+			}
+			for _, b := range p.Blocks {
+				if _, err := c.Next(b.Number, b.Value); err != nil {
+					return err
+				}
+				if code, ok := must[b.Number]; ok && !bytes.Equal(code, c.Code) {
+					return &audit.Fault{Node: h.Node, Block: b.Number, Why: "is another than was known: the chain was replaced"}
+				}
+			}
+			show(int(total+c.Entries), -1)
+			more = p.More && len(p.Blocks) > 0
+		}
+		for n := range must {
+			if n > c.Number {
+				return &audit.Fault{Node: h.Node, Block: c.Number + 1, Why: fmt.Sprintf("and those behind it, up to %d, were removed", n)}
+			}
+		}
+		total += c.Entries
+		now[h.Node] = end{c.Number, c.Code}
+		fmt.Fprintf(cmd.OutOrStdout(), "chain of %s: %d blocks, %d entries, whole\n", h.Node, c.Number, c.Entries)
+	}
+	if known == "" {
+		return nil
+	}
+	return saveEnds(known, now)
+}
+
+// saveEnds replaces the file of ends whole, or not at all.
+func saveEnds(path string, ends map[string]end) error {
+	raw, err := json.MarshalIndent(ends, "", "  ")
+	if err != nil {
+		return err
+	}
+	t, err := os.CreateTemp(filepath.Dir(path), ".ends")
+	if err != nil {
+		return fmt.Errorf("ends: %w", err)
+	}
+	_, err = t.Write(append(raw, '\n'))
+	if err == nil {
+		err = t.Sync()
+	}
+	if err = errors.Join(err, t.Close()); err == nil {
+		err = os.Rename(t.Name(), path)
+	}
+	if err != nil {
+		os.Remove(t.Name())
+		return fmt.Errorf("ends: %w", err)
+	}
+	return nil
+}
+
+func auditReportCommand(me *self) *cobra.Command {
+	var f auditFlags
+	var file string
+	cmd := &cobra.Command{
+		Use: "report", Short: "Write a page of who did what, by day, with a plot", Args: cobra.NoArgs,
+		Example: "  dewlift audit report --html november.html --since 2026-11-01 --until 2026-11-30 --tz Europe/Zurich --key admin.key",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				return errors.New("--html FILE is needed")
+			}
+			if err := f.check(); err != nil {
+				return err
+			}
+			r := &report.Report{Zone: f.location}
+			if err := f.each(cmd.Context(), me, func(a *audit.Act) error { r.Add(a); return nil }); err != nil {
+				return err
+			}
+			out, err := os.Create(file)
+			if err != nil {
+				return fmt.Errorf("report: %w", err)
+			}
+			var chosen []string
+			for _, x := range [][2]string{{"who", f.filter.Who}, {"verb", f.filter.Verb}, {"object", f.filter.Object}, {"outcome", f.filter.Outcome}, {"since", f.since}, {"until", f.until}} {
+				if x[1] != "" {
+					chosen = append(chosen, x[0]+" "+x[1])
+				}
+			}
+			note := ""
+			if len(chosen) > 0 {
+				note = "Only: " + strings.Join(chosen, ", ") + "."
+			}
+			if err := errors.Join(r.HTML(out, note), out.Close()); err != nil {
+				return fmt.Errorf("report: %w", err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d days\n", file, len(r.Days()))
+			return nil
+		},
+	}
+	f.source(cmd)
+	f.filters(cmd)
+	cmd.Flags().StringVar(&file, "html", "", "the page's file")
+	return cmd
+}
--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -16,7 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"dewlift"
-	"dewlift/access"
+	"dewlift/audit"
 	"dewlift/secure"
 	"dewlift/settings"
 	"dewlift/wire"
@@ -27,6 +28,9 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "dewlift: "+err.Error())
+		if fault := (*audit.Fault)(nil); errors.As(err, &fault) { // a finding, not bad use
+			os.Exit(1)
+		}
 		os.Exit(2)
 	}
 }
@@ -61,7 +65,7 @@
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dewlift "+version) },
-	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me))
+	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me))
 	return cmd
 }
 
@@ -130,17 +134,19 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(p.Cluster.Quota.MemMB * 0.7 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	var rights *access.Policy
+	var g dewlift.Guards
 	if accessFile != "" {
-		if rights, err = loadAccess(accessFile); err != nil {
+		if g.Rights, err = loadAccess(accessFile); err != nil {
+			return err
+		}
+		if g.Audit, err = auditKeyOf(g.Rights, p); err != nil {
 			return err
 		}
 	}
-	var files *secure.Files
 	if secureFile != "" {
-		if files, err = secure.Load(secureFile, log); err != nil {
+		if g.Files, err = secure.Load(secureFile, log); err != nil {
 			return err
 		}
 	}
-	return dewlift.New(p, t, rights, files, log).Run(ctx)
+	return dewlift.New(p, t, g, log).Run(ctx)
 }
--- a/cmd/dewlift/snapshot.go
+++ b/cmd/dewlift/snapshot.go
@@ -132,7 +132,7 @@
 func (f *snapshotFlags) find(ctx context.Context, config string, me *self) error {
 	switch {
 	case f.server != "":
-		r, err := me.ask(ctx, http.MethodGet, f.server, wire.PathSite, nil)
+		r, err := me.ask(ctx, http.MethodGet, f.server, wire.PathSite+"?for="+wire.ForSnapshot, nil)
 		if err != nil {
 			return err
 		}
--- a/controller.go
+++ b/controller.go
@@ -11,6 +11,7 @@
 	"dewlift/access"
 	"dewlift/agent"
 	"dewlift/api"
+	"dewlift/audit"
 	"dewlift/cloud"
 	"dewlift/core"
 	"dewlift/mesh"
@@ -44,20 +45,26 @@
 	queueLen = 4096
 )
 
-// New assembles a controller. rights are put in force where the state service has none; nil: none. Without files,
-// all is in plain text.
-func New(p *settings.Platform, t *pb.Tuning, rights *access.Policy, files *secure.Files, log *slog.Logger) *Controller {
+// Guards are what a controller may be guarded with; the zero value is none of it.
+type Guards struct {
+	Rights *access.Policy // put in force where the state service has none
+	Audit  audit.Key      // of the audit record
+	Files  *secure.Files  // of TLS; nil: all is in plain text
+}
+
+// New assembles a controller.
+func New(p *settings.Platform, t *pb.Tuning, g Guards, log *slog.Logger) *Controller {
 	c := &Controller{log: log, p: p, inputs: make(chan core.Input, queueLen), started: time.Now(),
 		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(idleConns(p.Cluster.Quota.FDLimit)), figures: newFigures()}
 	cfg := coreConfig(p, t)
-	cfg.Access = rights
+	cfg.Access, cfg.AuditKey, cfg.Settings = g.Rights, g.Audit, settings.Recorded(p, t)
 	c.core = core.New(cfg, 0, rand.Uint64())
 	peers := map[string]string{}
 	for _, q := range p.Peers {
 		peers[q.Name] = q.Addr
 	}
-	c.mesh = mesh.New(p.Name, peers, files, log)
-	c.api = api.New(c, time.Duration(p.Cluster.TimeBoundMS*float64(time.Millisecond)), files.Serve(), log)
+	c.mesh = mesh.New(p.Name, peers, g.Files, log)
+	c.api = api.New(c, time.Duration(p.Cluster.TimeBoundMS*float64(time.Millisecond)), g.Files.Serve(), log)
 	return c
 }
 
@@ -85,6 +92,7 @@
 		Silent: ms(t.GetSilentMs()), BootPatience: t.GetBootPatience(), Settle: ms(t.GetSettleMs()),
 		CancelShare: t.GetCancelShare(),
 		Archive:     t.GetArchive(), EndedKept: int(t.GetEndedKept()), HistoryCache: int(t.GetHistoryCacheKb()) << 10,
+		AuditGather: ms(t.GetAuditGatherMs()), AuditBlock: ms(t.GetAuditBlockMs()), TimeBoundMS: uint32(k.TimeBoundMS),
 		HistoryShare: t.GetHistoryShare(), HistoryWait: ms(t.GetHistoryWaitMs()),
 		WholePush: ms(t.GetWholePushMs()), PushGap: ms(t.GetPushGapMs()), OrderAgain: ms(t.GetOrderAgainMs()), ClearWait: ms(t.GetClearMs()), PassTime: ms(t.GetPassMs()),
 		LinkLost: ms(t.GetLinkLostMs()), RoomAgain: ms(t.GetRoomAgainMs()), ListEvery: ms(t.GetListMs()), SettleMost: ms(t.GetSettleMostMs()),
@@ -168,6 +176,9 @@
 		if clock < 0 || now-clock > time.Second {
 			clock = now
 			c.core.Handle(now, core.Clock{UnixMS: time.Now().UnixMilli()})
+			if items := c.api.Refused(); len(items) > 0 {
+				c.core.Handle(now, core.Refused{Items: items})
+			}
 		}
 		if first != nil {
 			c.core.Handle(now, first)
--- a/controller_test.go
+++ b/controller_test.go
@@ -50,7 +50,7 @@
 	tuning.Archive, tuning.HistoryWaitMs, tuning.EndedKept = new(true), new(uint32(0)), new(uint32(20))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	c := New(p, tuning, rights, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := New(p, tuning, Guards{Rights: rights}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go func() { ended <- c.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/core/core.go
+++ b/core/core.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"dewlift/audit"
 	"dewlift/ccs"
 	"dewlift/wire"
 )
@@ -141,8 +142,9 @@
 	placedMS int64 // time of day when tasks of it were placed last
 	size     int   // of its record, as it is stored
 
-	cancelMark uint64 // of the mark of its cancellation; 0: there is none
-	markedMS   int64
+	cancelMark  uint64 // of the mark of its cancellation; 0: there is none
+	markedMS    int64
+	markCarried []audit.Carried // by that mark
 
 	counted  bool   // among the ended jobs in memory whose records have not moved
 	archived bool   // it has moved
@@ -230,9 +232,10 @@
 	leader  held
 	nodes   map[string]held
 
-	hist      history // see history.go
-	rights    rights  // see rights.go
-	sweep     *sweep  // see sweep.go
+	hist      history  // see history.go
+	rights    rights   // see rights.go
+	audit     auditing // see audit.go
+	sweep     *sweep   // see sweep.go
 	sweepLook time.Duration
 	loadFrom  string // the key up to which all keys were read
 	loadAt    uint64 // revision of the first page
@@ -354,7 +357,7 @@
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
-		settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}}
+		settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newAuditing()}
 	c.copy.Expire = cfg.CopyExpire
 	for _, p := range cfg.Peers {
 		c.peers[p] = &peer{}
@@ -486,6 +489,12 @@
 		c.check(in)
 	case ShowRights:
 		c.showRights(in)
+	case ReadAudit:
+		c.readAudit(in)
+	case Refused:
+		for _, it := range in.Items {
+			c.gatherRefused(audit.Item{Who: it.Who, Verb: it.Verb, Object: it.Object, Why: it.Why}, it.Count)
+		}
 	case Beat:
 		c.beat(in)
 	case Seen:
@@ -530,6 +539,7 @@
 	if c.loaded {
 		c.own()
 		c.declare()
+		c.auditStep()
 		c.seedAccess()
 		c.tellRights()
 		c.place()
@@ -732,6 +742,7 @@
 		c.rights = rights{who: map[string]storedIdentity{}}
 		c.hist.index.Clear()
 		c.sweep = nil
+		c.audit.restored = 0
 		c.loadAt, c.loadPages = in.Ledger, 0
 		c.loads++
 	}
@@ -839,6 +850,9 @@
 		j := c.job(key[len(keyJob):])
 		j.load = c.loads
 		if mark <= j.mark {
+			if len(c.audit.unsure[key]) > 0 { // its own write's reply came before
+				c.notCarried(key, mark)
+			}
 			return
 		}
 		r, err := decodeRecord(raw)
@@ -847,11 +861,16 @@
 			bad(err)
 			return
 		}
+		c.sawCarried(key, mark, r.Carried)
 		c.adopt(j, r, c.unpack(r), mark, len(raw))
 	case strings.HasPrefix(key, keyForm):
 		bad(c.putForm(key, raw, mark))
 	case strings.HasPrefix(key, keyAccess):
 		bad(c.putAccess(key, raw, mark))
+	case strings.HasPrefix(key, keyAudit):
+		bad(c.putAudit(key, raw, mark))
+	case key == KeyRestored:
+		bad(c.putRestored(raw, mark))
 	case key == keyHistory:
 		c.putHistory(mark)
 	case strings.HasPrefix(key, keyCancel):
@@ -880,6 +899,8 @@
 		}
 	case strings.HasPrefix(key, keyAccess):
 		c.dropAccess(key)
+	case key == KeyRestored:
+		c.audit.restored = 0
 	case strings.HasPrefix(key, keyJob):
 		c.moved(key[len(keyJob):], mark)
 	}
--- a/core/form.go
+++ b/core/form.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"dewlift/audit"
 	"dewlift/wire"
 )
 
@@ -19,9 +20,10 @@
 	formAwaits  = 1 // descriptions that name awaited jobs, packed records, marks of cancellation
 	formAccess  = 3 // rights; ended records keep their team and class
 	formHistory = 2 // ended jobs may have moved into the archive
+	formAudit   = 4 // values carry entries of the audit record
 
 	// Form is the newest form that this version knows.
-	Form = formAccess
+	Form = formAudit
 )
 
 const (
@@ -117,21 +119,24 @@
 
 // cancelMark is the value of a mark of cancellation.
 type cancelMark struct {
-	CancelMS int64 `json:"cm"`
+	CancelMS int64           `json:"cm"`
+	Carried  []audit.Carried `json:"e,omitempty"`
 }
 
 // markCancelled cancels a job whose record is too large to be written again as it is: an older
 // version may have stored it under larger limits. The mark is one small durable write. The
 // record follows as its tasks end, and its writers see to it that there is no mark.
-func (c *Core) markCancelled(j *job, ms int64, conds []wire.Cond) {
-	raw, err := json.Marshal(cancelMark{CancelMS: ms})
+func (c *Core) markCancelled(j *job, ms int64, conds []wire.Cond, acts []act) {
+	key := keyCancel + j.id
+	list, ids := c.carry(key, j.cancelMark, j.markCarried, acts)
+	raw, err := json.Marshal(cancelMark{CancelMS: ms, Carried: list})
 	if err != nil {
-		panic(err) // a number
+		panic(err) // a number, and bytes
 	}
-	key := keyCancel + j.id
 	j.inflight = true
 	c.commit(wire.Txn{If: append(conds, wire.Cond{Key: keyJob + j.id, Mark: j.mark}, wire.Cond{Key: key, Mark: j.cancelMark}),
 		Then: []wire.Write{{Put: key, Value: raw}}}, &txn{done: func(status int, _ wire.TxnReply) {
+		c.carried(ids, status)
 		j.inflight = false
 		c.touch(j)
 		if status == 429 || status == 503 {
@@ -149,7 +154,8 @@
 		return err
 	}
 	j := c.job(key[len(keyCancel):])
-	j.cancelMark, j.markedMS = mark, v.CancelMS
+	c.sawCarried(key, mark, v.Carried)
+	j.cancelMark, j.markedMS, j.markCarried = mark, v.CancelMS, v.Carried
 	if j.mark != 0 && j.rec.Stage == stQueued {
 		rec := *j.rec
 		c.adopt(j, &rec, j.place, j.mark, j.size)
--- a/core/own.go
+++ b/core/own.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"dewlift/wire"
@@ -14,6 +15,9 @@
 
 // keepLease keeps this controller's lease, and gets a new one when it is lost.
 func (c *Core) keepLease() {
+	if c.unfit() { // it must not act: its lease runs out, and others take over
+		return
+	}
 	if c.leaseOp != "" || c.now < c.leaseSent+150*time.Millisecond {
 		return
 	}
@@ -84,7 +88,7 @@
 
 // own claims absent shards and the leadership, and gives up surplus shards.
 func (c *Core) own() {
-	if !c.leaseOK() || c.claiming || c.now < c.claimAt || c.now < c.holdUntil {
+	if c.mute() || !c.leaseOK() || c.claiming || c.now < c.claimAt || c.now < c.holdUntil {
 		return
 	}
 	node, have := c.nodes[c.cfg.Name]
@@ -114,7 +118,7 @@
 	var claims []int
 	for i := range c.shards {
 		s := &c.shards[i]
-		if c.mineShard(i) || ops+len(claims)+2 > c.cfg.TxnOps {
+		if c.mineShard(i) || ops+len(claims)+2+c.besides() > c.cfg.TxnOps {
 			continue
 		}
 		old := s.mark != 0 && s.Node == c.cfg.Name // held by an earlier life of this controller
@@ -135,8 +139,9 @@
 	lead := false
 	if c.leader.mark == 0 && settled && c.now-c.leader.since >= time.Duration(c.rank(keyLeader, live))*300*time.Millisecond ||
 		c.leader.mark != 0 && c.leader.Node == c.cfg.Name && c.leader.Lease != c.lease {
-		lead = ops+len(claims)+2 <= c.cfg.TxnOps
+		lead = ops+len(claims)+2+c.besides() <= c.cfg.TxnOps
 	}
+	told := func(int) {}
 	if len(claims) > 0 || lead {
 		token := c.epoch + 1
 		t.If = append(t.If, wire.Cond{Key: keyEpoch, Mark: c.epochMk})
@@ -149,6 +154,7 @@
 			t.If = append(t.If, wire.Cond{Key: keyLeader, Mark: c.leader.mark})
 			t.Then = append(t.Then, wire.Write{Put: keyLeader, Value: c.heldValue(token), Lease: c.lease})
 		}
+		told = c.carryBeside(&t, "take/"+c.cfg.Name, act{verb: verbTake, object: taken(claims, lead), why: fmt.Sprintf("token %d", token)})
 	} else if ops == 0 && (count > fair || uneven) && c.now >= c.giveAt {
 		c.giveAt = c.now + 1500*time.Millisecond
 		if i := c.surplus(); i >= 0 {
@@ -163,6 +169,7 @@
 	c.claimAt = c.now + 100*time.Millisecond
 	c.commit(t, &txn{done: func(status int, _ wire.TxnReply) {
 		c.claiming = false
+		told(status)
 		if status != 200 {
 			c.claimAt = c.now + 100*time.Millisecond + c.jitter(200*time.Millisecond)
 		}
@@ -171,6 +178,18 @@
 	}})
 }
 
+// taken names what is claimed.
+func taken(claims []int, lead bool) string {
+	var list []string
+	if lead {
+		list = append(list, "leadership")
+	}
+	if len(claims) > 0 {
+		list = append(list, "shards "+strings.Trim(fmt.Sprint(claims), "[]"))
+	}
+	return strings.Join(list, ", ")
+}
+
 func (c *Core) heldValue(token uint64) json.RawMessage {
 	raw, err := json.Marshal(held{Node: c.cfg.Name, Lease: c.lease, Token: token})
 	if err != nil {
--- a/core/place.go
+++ b/core/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -31,6 +32,9 @@
 	cancel  bool
 	routine bool        // it only tells of ends
 	starts  bool        // it only starts tasks
+	acts    []act       // to be recorded
+	asked   int         // how many of them, the first, are cancellations that users asked for
+	ids     []uint64    // of their entries
 	conds   []wire.Cond // under which a new job can't have been archived, and its user still may
 }
 
@@ -91,6 +95,7 @@
 	for _, p := range x.props {
 		j := p.j
 		j.inflight = false
+		c.carried(p.ids, in.Status)
 		if in.Status == 200 {
 			for _, a := range p.ended {
 				c.freed(j, a)
@@ -228,6 +233,9 @@
 
 // place evaluates the jobs that changed and commits what follows.
 func (c *Core) place() {
+	if c.mute() {
+		return
+	}
 	inflight := 0
 	for _, x := range c.txns {
 		if x.done == nil {
@@ -410,6 +418,9 @@
 		j.lookAt = again
 		return true
 	}
+	if len(p.acts) > 0 {
+		p.conds = append(p.conds, c.unrecorded()...)
+	}
 	if len(b.props) > 0 && len(b.t.If)+len(p.conds)+condsOfJob > 4*c.cfg.TxnOps {
 		c.undo(p)
 		return false
@@ -419,6 +430,11 @@
 		j.lookAt = c.now + 100*time.Millisecond
 		return true
 	}
+	old := p.rec.Carried
+	if j.cancelMark != 0 && p.rec.Spec == nil { // its mark goes
+		old = append(slices.Clone(old), j.markCarried...)
+	}
+	p.rec.Carried, p.ids = c.carry(keyJob+j.id, j.mark, old, p.acts)
 	raw, err := c.fitValue(p)
 	if err != nil || len(raw) > c.cfg.ValueBytes {
 		// An older version may have stored it under larger limits, or its tasks end in an order that
@@ -427,12 +443,13 @@
 		c.undo(p)
 		j.lookAt = c.now + time.Second
 		if p.cancel && c.form() >= formAwaits {
-			c.markCancelled(j, p.rec.CancelMS, p.conds)
+			c.markCancelled(j, p.rec.CancelMS, p.conds, p.acts[:p.asked])
 		}
 		return true
 	}
 	p.size = len(raw)
 	if p.starts && len(p.started) == 0 {
+		c.carried(p.ids, 409) // never sent
 		// No start fits the value before others of its tasks have ended. Without this, such a job
 		// was written again and again as it was, and the others starved.
 		j.lookAt = c.now + time.Second
@@ -510,6 +527,7 @@
 
 // undo gives back the room of starts that were not committed.
 func (c *Core) undo(p *proposal) {
+	c.carried(p.ids, 409) // never sent
 	for _, a := range p.started {
 		c.copy.Apply(ccs.Delta{Machine: a.machine, Claim: p.spec.Claim})
 	}
@@ -556,11 +574,13 @@
 		}
 		s := c.pickShard()
 		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS, Who: j.accept.by.Who}
-		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true, conds: append(c.onRights(j.accept.by), unless)}
+		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true, conds: append(c.onRights(j.accept.by), unless),
+			acts: []act{{by: j.accept.by, verb: "submit", object: j.id, why: fmt.Sprintf("%s %s %s", spec.Team, spec.Class, wire.PriorityName(spec.Priority))}}}
 		left, _, cancelled := c.unmet(&spec)
 		if cancelled != nil {
 			p.rec = &record{Shard: s, Stage: stCancelled, CancelMS: c.unixMS(), By: cancelled.id}
 			c.keepGroup(p.rec, &spec)
+			p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + cancelled.id})
 			return p, 0
 		}
 		spec.Awaits = left // what is over needs no keeping
@@ -588,10 +608,17 @@
 		p.cancel = true
 		rec.Stage = stCancelled
 		rec.CancelMS = j.cancelMS
+		for _, x := range j.cancels {
+			if a := (act{by: x.by, verb: "cancel", object: j.id}); !slices.Contains(p.acts, a) {
+				p.acts = append(p.acts, a)
+			}
+		}
+		p.asked = len(p.acts)
 	}
 	ended := j.cause != nil && rec.Stage == stQueued // with a job that it needs
 	if ended {
 		rec.Stage, rec.By, rec.CancelMS = stCancelled, j.cause.id, c.unixMS()
+		p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + j.cause.id})
 	}
 	if !c.mine(j) {
 		if !p.cancel {
@@ -602,6 +629,7 @@
 	}
 	changed := p.cancel || ended || j.size > c.cfg.ValueBytes && c.form() >= formAwaits
 	quick := p.cancel
+	var stopped []reason
 	for _, a := range j.place {
 		ended, cause := c.fate(j, a)
 		if !ended {
@@ -621,19 +649,21 @@
 			if t := m.att[attKey{j.idx, a.task, a.try}]; t != nil && t.stop != "" && cause == wire.CauseStopped {
 				cause = t.stop
 			}
-			rec.addReason(reason{int(a.task), m.name, cause, c.unixMS()})
+			stopped = append(stopped, reason{int(a.task), m.name, cause, c.unixMS()})
+			rec.addReason(stopped[len(stopped)-1])
 			c.blame(j, m, cause, a)
 		}
 	}
+	p.acts = append(p.acts, stopsOf(j.id, stopped)...)
 	switch {
 	case rec.Stage == stCancelled && len(p.place) == 0:
-		rec = record{Shard: rec.Shard, Stage: stCancelled, Done: rec.Done, Why: rec.Why, By: rec.By}
+		rec = record{Shard: rec.Shard, Stage: stCancelled, Done: rec.Done, Why: rec.Why, By: rec.By, Carried: rec.Carried}
 		c.keepGroup(&rec, p.spec)
 		changed = true
 	case rec.Stage == stQueued && rec.Done.count() == rec.Spec.Tasks:
 		c.note("debug", "job done", "job", j.id, "class", rec.Spec.Class, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "tries", rec.Tries,
 			"estimate_s", rec.Spec.EstimateMS/1000, "took_ms", c.unixMS()-rec.AtMS, "placed_ms", j.placedMS-rec.AtMS, "why", rec.Why)
-		rec = record{Shard: rec.Shard, Stage: stDone, Done: ranges{0, rec.Spec.Tasks - 1}}
+		rec = record{Shard: rec.Shard, Stage: stDone, Done: ranges{0, rec.Spec.Tasks - 1}, Carried: rec.Carried}
 		c.keepGroup(&rec, p.spec)
 		changed, quick = true, true
 	case rec.Stage == stQueued && j.waits == 0:
--- a/core/record.go
+++ b/core/record.go
@@ -9,6 +9,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"dewlift/audit"
 	"dewlift/wire"
 )
 
@@ -21,20 +22,21 @@
 
 // record is a job as the state service holds it.
 type record struct {
-	Shard    int        `json:"h"`
-	Stage    string     `json:"st,omitempty"`
-	Spec     *wire.Spec `json:"s,omitempty"` // absent once the job is over
-	Place    []placed   `json:"a,omitempty"`
-	Done     ranges     `json:"d,omitempty"`
-	Tries    uint64     `json:"t,omitempty"`  // highest attempt given out
-	AtMS     int64      `json:"at,omitempty"` // time of day of acceptance
-	CancelMS int64      `json:"cm,omitempty"` // time of day of cancellation
-	Why      []reason   `json:"w,omitempty"`
-	Who      string     `json:"u,omitempty"`  // who submitted it, where there are rights
-	Team     string     `json:"gt,omitempty"` // of a job that is over, from form 3 on
-	Class    string     `json:"gc,omitempty"` // likewise
-	By       string     `json:"by,omitempty"` // the cancelled job because of which this one is
-	Packed   []byte     `json:"b,omitempty"`  // Place, Done and what the description awaits, packed
+	Shard    int             `json:"h"`
+	Stage    string          `json:"st,omitempty"`
+	Spec     *wire.Spec      `json:"s,omitempty"` // absent once the job is over
+	Place    []placed        `json:"a,omitempty"`
+	Done     ranges          `json:"d,omitempty"`
+	Tries    uint64          `json:"t,omitempty"`  // highest attempt given out
+	AtMS     int64           `json:"at,omitempty"` // time of day of acceptance
+	CancelMS int64           `json:"cm,omitempty"` // time of day of cancellation
+	Why      []reason        `json:"w,omitempty"`
+	Who      string          `json:"u,omitempty"`  // who submitted it, where there are rights
+	Team     string          `json:"gt,omitempty"` // of a job that is over, from form 3 on
+	Class    string          `json:"gc,omitempty"` // likewise
+	By       string          `json:"by,omitempty"` // the cancelled job because of which this one is
+	Carried  []audit.Carried `json:"e,omitempty"`  // entries of the audit record, until they are in blocks
+	Packed   []byte          `json:"b,omitempty"`  // Place, Done and what the description awaits, packed
 }
 
 // placed lists the tasks assigned to machines of one zone that are in the same session. Jobs
--- a/core/rights.go
+++ b/core/rights.go
@@ -116,10 +116,10 @@
 // guarded reports whether rights are in force.
 func (c *Core) guarded() bool { return c.rights.rolesMark != 0 }
 
-const notYet = "rights are not in force yet"
+const notYet = "rights are not in force yet, or what is done can't be recorded yet"
 
-// closed reports whether rights shall be in force and are not yet: nobody is served.
-func (c *Core) closed() bool { return c.cfg.Access != nil && !c.guarded() }
+// closed reports whether rights shall be in force and are not yet, or what is done can't be recorded yet: nobody is served.
+func (c *Core) closed() bool { return c.cfg.Access != nil && !c.guarded() || c.mute() }
 
 // whole is all rights as a message.
 func (r *rights) whole() *pb.Access {
@@ -177,7 +177,7 @@
 		}
 		return []wire.Cond{{Key: keyRoles}} // they may come into force meanwhile
 	}
-	return []wire.Cond{{Key: keyRoles, Mark: c.rights.rolesMark}, {Key: keyWho + cr.Who, Mark: c.rights.who[cr.Who].mark}}
+	return append([]wire.Cond{{Key: keyRoles, Mark: c.rights.rolesMark}, {Key: keyWho + cr.Who, Mark: c.rights.who[cr.Who].mark}}, c.unrecorded()...)
 }
 
 // group is the team and class that a job's readers need a grant for; "" if that is not known any more.
@@ -210,10 +210,9 @@
 	return access.Act{Verb: pb.Verb_submit, Team: s.Team, Class: s.Class, Priority: s.Priority}
 }
 
-// forbid refuses somebody for lack of a right, and has that noted.
+// forbid refuses somebody for lack of a right, and has that recorded.
 func (c *Core) forbid(req uint64, cr Cred, verb, object, why string) {
-	c.note("info", "refused", "who", cr.Who, "verb", verb, "object", object, "why", why)
-	c.Stats.Forbidden++
+	c.refusedAct(cr, verb, object, why)
 	c.reply(req, 403, wire.Error{Error: why})
 }
 
@@ -223,8 +222,7 @@
 	c.lookAt(in.Req, in.ID, func(j *job) {
 		if j == nil || !c.mayRead(in.By, j) {
 			if j != nil {
-				c.note("info", "refused", "who", in.By.Who, "verb", "read", "object", in.ID)
-				c.Stats.Forbidden++
+				c.refusedAct(in.By, "read", in.ID, "no right to read it")
 			}
 			c.reply(in.Req, 404, wire.Error{Error: "no such job"})
 			return
@@ -238,8 +236,7 @@
 	c.lookAt(in.Req, in.ID, func(j *job) {
 		if j == nil || !c.mayCancel(in.By, j) && !c.mayRead(in.By, j) {
 			if j != nil {
-				c.note("info", "refused", "who", in.By.Who, "verb", "cancel", "object", in.ID)
-				c.Stats.Forbidden++
+				c.refusedAct(in.By, "cancel", in.ID, "no right to cancel or read it")
 			}
 			c.reply(in.Req, 404, wire.Error{Error: "no such job"})
 			return
@@ -345,35 +342,41 @@
 // they come into force. A seeding that was interrupted goes on.
 func (c *Core) seedAccess() {
 	r := &c.rights
-	if !c.closed() || !c.leads() || !c.leaseOK() || c.form() < formAccess || r.seeding || c.now < r.seedAt || c.now < c.holdUntil || c.writes < 1 {
+	if c.cfg.Access == nil || c.guarded() || c.mute() || c.cfg.AuditKey != nil && !c.auditing() || !c.leads() || !c.leaseOK() || c.form() < formAccess || r.seeding || c.now < r.seedAt || c.now < c.holdUntil || c.writes < 1 {
 		return
 	}
 	seed := c.cfg.Access.Source()
 	t := wire.Txn{If: []wire.Cond{{Key: keyLeader, Mark: c.leader.mark}, {Key: keyRoles}}}
-	put := func(key string, mark uint64, m protobuf.Message) bool {
+	put := func(key string, m protobuf.Message) bool {
 		raw, err := packMessage(m)
 		if err != nil || len(raw) > c.cfg.ValueBytes {
 			c.note("error", "rights can't be written", "key", key, "bytes", len(raw), "err", fmt.Sprint(err))
 			return false
 		}
-		if mark == 0 && key != keyRoles {
+		if key != keyRoles {
 			t.If = append(t.If, wire.Cond{Key: key})
 		}
 		t.Then = append(t.Then, wire.Write{Put: key, Value: raw})
 		return true
 	}
 	for _, id := range seed.Identities {
-		if _, there := r.who[id.Name]; !there && len(t.Then) < max(1, min(c.cfg.TxnOps, int(c.writes))) && !put(keyWho+id.Name, 0, id) {
+		if _, there := r.who[id.Name]; !there && len(t.Then) < max(1, min(c.cfg.TxnOps, int(c.writes))-c.besides()) && !put(keyWho+id.Name, id) {
 			r.seedAt = c.now + 10*time.Second
 			return
 		}
 	}
-	if len(t.Then) == 0 && !put(keyRoles, 0, &pb.Access{Roles: seed.Roles, WorkersSign: seed.WorkersSign}) {
+	if len(t.Then) == 0 && !put(keyRoles, &pb.Access{Roles: seed.Roles, WorkersSign: seed.WorkersSign}) {
 		r.seedAt = c.now + 10*time.Second
 		return
 	}
+	var seeded []string
+	for _, w := range t.Then {
+		seeded = append(seeded, strings.TrimPrefix(w.Put, keyAccess))
+	}
+	told := c.carryBeside(&t, "rights", act{verb: "administer", object: "rights", why: "first rights: " + strings.Join(seeded, " ")})
 	r.seeding = true
-	c.commit(t, &txn{done: func(int, wire.TxnReply) {
+	c.commit(t, &txn{done: func(status int, _ wire.TxnReply) {
+		told(status)
 		c.afterBarrier(func(bool) { r.seeding = false }) // what came of it shows there
 	}})
 }
@@ -387,11 +390,14 @@
 		c.refuse(in.Req, "rights are not in force")
 	default:
 		c.soonAfterBarrier(func(ok bool) {
-			if !ok {
+			switch {
+			case !ok:
 				c.refuse(in.Req, "state service not reached")
-				return
+			case c.closed(): // an entry of a life that has not begun would have the name of another
+				c.refuse(in.Req, notYet)
+			default:
+				c.changeNow(in)
 			}
-			c.changeNow(in)
 		})
 	}
 }
@@ -434,7 +440,9 @@
 	if in.By.Who != in.Who {
 		t.If = append(t.If, wire.Cond{Key: keyWho + in.Who, Mark: old.mark})
 	}
+	told := c.carryBeside(&t, "who/"+in.Who, act{by: in.By, verb: "administer", object: in.Who, why: in.summary()})
 	c.commit(t, &txn{done: func(status int, _ wire.TxnReply) {
+		told(status)
 		c.afterBarrier(func(bool) {}) // it shows here too, soon
 		if status != 200 {
 			c.refuse(in.Req, "rights changed meanwhile, or the outcome is not known: ask again")
@@ -471,6 +479,35 @@
 	return c.freshRights().Holds(cr.Who, cr.Key)
 }
 
+// summary tells in short what is changed.
+func (in *Change) summary() string {
+	e := &in.Edit
+	var list []string
+	say := func(what string, names []string) {
+		if len(names) > 0 {
+			list = append(list, what+" "+strings.Join(names, " "))
+		}
+	}
+	say("grant roles", e.GrantRoles)
+	say("revoke roles", e.RevokeRoles)
+	var keys []string
+	for _, k := range e.AddKeys {
+		keys = append(keys, k.ID)
+	}
+	say("add keys", keys)
+	say("revoke keys", e.RevokeKeys)
+	if e.Certificate != nil {
+		list = append(list, fmt.Sprintf("certificate %v", *e.Certificate))
+	}
+	if e.Delete {
+		list = append(list, "delete")
+	}
+	if e.CancelQueued {
+		list = append(list, "cancel what is queued")
+	}
+	return strings.Join(list, "; ")
+}
+
 // apply is an identity after a change; nil if it is no more.
 func (in *Change) apply(old *pb.Identity) (*pb.Identity, error) {
 	e := &in.Edit
@@ -523,7 +560,13 @@
 		case !d.Allowed:
 			c.forbid(in.Req, in.By, in.Verb.String(), in.Object, d.Why)
 		default:
-			c.reply(in.Req, 200, struct{}{})
+			c.recordRead(in.By, in.Verb.String(), in.Object, func(ok bool) {
+				if !ok {
+					c.refuse(in.Req, "this can't be recorded now")
+					return
+				}
+				c.reply(in.Req, 200, struct{}{})
+			})
 		}
 	})
 }
--- a/core/rights_test.go
+++ b/core/rights_test.go
@@ -99,7 +99,7 @@
 		}
 		return txns
 	}
-	stream(c, 1200*time.Millisecond, 11, event(keyLeader, string(c.heldValue(1)), 11), event(keyForm+"n1", fmt.Sprint(Form-1), 11), event(keyForm+"n2", fmt.Sprint(Form), 11), event(keyForm+"n0", fmt.Sprint(Form), 11))
+	stream(c, 1200*time.Millisecond, 11, event(keyLeader, string(c.heldValue(1)), 11), event(keyForm+"n1", fmt.Sprint(formAccess-1), 11), event(keyForm+"n2", fmt.Sprint(Form), 11), event(keyForm+"n0", fmt.Sprint(Form), 11))
 	if x := written(1300*time.Millisecond, 3*time.Second); len(x) != 0 {
 		t.Errorf("written while another controller does not know rights: %+v", x)
 	}
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -94,7 +94,7 @@
 		for _, it := range in.Items {
 			s.after = it.Key
 			r, err := decodeRecord(it.Value)
-			if err != nil || r.Spec != nil || r.Stage == stQueued || it.Mark > s.below {
+			if err != nil || r.Spec != nil || r.Stage == stQueued || it.Mark > s.below || !c.allInBlocks(r.Carried) {
 				continue
 			}
 			id := strings.TrimPrefix(it.Key, keyJob)
--- a/core/types.go
+++ b/core/types.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"dewlift/access"
+	"dewlift/audit"
 	"dewlift/ccs"
+	pb "dewlift/proto"
 	"dewlift/wire"
 )
 
@@ -67,15 +69,20 @@
 	LossGather   time.Duration // how long the losses of a job of many tasks wait for each other
 	AcceptWait   time.Duration // for the write of a submission or cancellation
 	HealthEvery  time.Duration
-	LookAll      time.Duration  // between two looks at everything
-	RentAhead    time.Duration  // from a need to the rental, and from a boot to the first start
-	Access       *access.Policy // rights where the state service has none; nil: none, and everyone may do everything
-	Archive      bool           // ended jobs may move into the archive
-	EndedKept    int            // of the ended jobs, those of late that stay in memory and keep their records
-	HistoryCache int            // bytes of blocks that are remembered
-	HistoryShare float64        // of the requests, what looking for ended jobs may take
-	HistoryWait  time.Duration  // after every controller knows the archive, until the first move
-	CancelShare  float64        // of CancelIn, after which machines with cancelled tasks are returned
+	LookAll      time.Duration     // between two looks at everything
+	RentAhead    time.Duration     // from a need to the rental, and from a boot to the first start
+	Access       *access.Policy    // rights where the state service has none; nil: none, and everyone may do everything
+	Archive      bool              // ended jobs may move into the archive
+	EndedKept    int               // of the ended jobs, those of late that stay in memory and keep their records
+	HistoryCache int               // bytes of blocks that are remembered
+	HistoryShare float64           // of the requests, what looking for ended jobs may take
+	HistoryWait  time.Duration     // after every controller knows the archive, until the first move
+	AuditKey     audit.Key         // nil: nothing is recorded
+	AuditGather  time.Duration     // how long refusals and reads are gathered
+	AuditBlock   time.Duration     // how long other entries wait to share a block
+	TimeBoundMS  uint32            // how far the time of day may be off
+	Settings     map[string]string // as they are recorded
+	CancelShare  float64           // of CancelIn, after which machines with cancelled tasks are returned
 }
 
 // Team is a team with its guarantee and limit in thousandths; 0 means none.
@@ -129,6 +136,17 @@
 		Verb   access.Verb
 		Object string
 	}
+	// Refused tells of requests that the edge refused, as it could not tell who asked.
+	Refused struct {
+		Items []*pb.AuditItem
+	}
+	// ReadAudit asks for blocks of a controller's chain behind one; without a controller, for the ends of all chains.
+	ReadAudit struct {
+		Req   uint64
+		By    Cred
+		Node  string
+		After uint64
+	}
 	// ShowRights asks for all rights.
 	ShowRights struct {
 		Req uint64
@@ -210,6 +228,8 @@
 func (Cancel) input()     {}
 func (Change) input()     {}
 func (ShowRights) input() {}
+func (ReadAudit) input()  {}
+func (Refused) input()    {}
 func (Check) input()      {}
 func (Beat) input()       {}
 func (Seen) input()       {}
--- a/internal/sim/rights.go
+++ b/internal/sim/rights.go
@@ -54,7 +54,7 @@
 	all := []string{access.All}
 	a := &pb.Access{Roles: []*pb.Role{
 		{Name: "all", Grants: []*pb.Grant{{Verbs: verbs, Teams: all, Classes: all, UpTo: wire.PriorityName(0)}}},
-		{Name: "admin", Grants: []*pb.Grant{{Verbs: []pb.Verb{pb.Verb_administer}}}}}}
+		{Name: "admin", Grants: []*pb.Grant{{Verbs: []pb.Verb{pb.Verb_administer, pb.Verb_audit}}}}}}
 	add := func(who string, roles ...string) {
 		public := make([]byte, 32)
 		copy(public, who)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -1,12 +1,16 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"dewlift/audit"
+	"dewlift/core"
+	pb "dewlift/proto"
 	"dewlift/wire"
 )
 
@@ -111,6 +115,25 @@
 	}
 }
 
+// What is done is recorded amid troubles: no change without its entry, no entry without its change, none lost
+// or put twice, no block written again.
+func TestRulesHoldWithAnAuditRecord(t *testing.T) {
+	seeds := []uint64{191} // a former life's last block was written after its entries were read
+	for seed := uint64(1); seed <= 20; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			w := play(t, Options{Seed: seed, Length: 240 * time.Second, Jobs: 40, Tasks: 4, Chains: 2, Rights: true, Audit: true, History: seed%2 == 0, Quiet: seed%10 == 0})
+			if w.recorder.verbs["submit"] == 0 || w.recorder.verbs["administer"] == 0 {
+				t.Errorf("entries %v", w.recorder.verbs)
+			}
+			t.Logf("%d starts, %v, entries %v", w.Check.Starts, w.Check.stages(), w.recorder.verbs)
+		})
+	}
+}
+
 // Pipelines of all shapes, with cancellations at any time.
 func TestRulesHoldForPipelines(t *testing.T) {
 	for seed := uint64(1); seed <= 16; seed++ {
@@ -206,6 +229,79 @@
 	}
 }
 
+// The rule about the record must catch a change without its entry, an entry without its change, one that is
+// dropped, put twice or lost, and a block that is written again.
+func TestCheckerCatchesWhatIsUnrecorded(t *testing.T) {
+	const job, shard, who = core.Root + "job/wk-1", core.Root + "shard/00", core.Root + "access/who/u"
+	entry := func(key, verb, by string, count uint64) audit.Carried {
+		return auditKey.Carry("n0", key, &pb.AuditEntry{Life: 1, Count: count, Verb: verb, Who: by, Object: "wk-1"})
+	}
+	value := func(stage string, list ...audit.Carried) json.RawMessage {
+		raw, err := json.Marshal(carrying{Carried: list, Stage: stage, Who: "u"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	put := func(key string, raw json.RawMessage) wire.Write { return wire.Write{Put: key, Value: raw} }
+	block := func(number uint64, list ...audit.Carried) wire.Write {
+		var raws [][]byte
+		for _, x := range list {
+			raws = append(raws, x.Entry)
+		}
+		raw, _, _, err := auditKey.Extend(&audit.Head{Number: number - 1}, "n0", 0, raws, 8192)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return put(audit.BlockKey("n0", number), raw)
+	}
+	s1, s2 := entry(job, "submit", "u", 1), entry(job, "submit", "u", 2)
+	good := put(job, value("", s1))
+	for name, txns := range map[string][][]wire.Write{
+		"a job":                  {{put(job, value(""))}},
+		"another's job":          {{put(job, value("", entry(job, "submit", "v", 1)))}},
+		"a cancellation":         {{good}, {put(job, value("c", s1))}},
+		"a cancel mark":          {{good}, {put(core.Root+"cancel/wk-1", value(""))}},
+		"a right":                {{put(who, json.RawMessage(`{"b":""}`))}},
+		"a right taken":          {{wire.Write{Delete: who}}},
+		"a take-over":            {{put(shard, json.RawMessage(`{"n":"n0"}`))}},
+		"a stop":                 {{good}, {put(job, json.RawMessage(strings.Replace(string(value("", s1)), `"w":null`, `"w":[{"i":0,"t":1}]`, 1)))}},
+		"an entry alone":         {{good}, {put(job, value("", s1, s2))}},
+		"an entry in two places": {{good}, {put(core.Root+"job/wk-2", value("", s1))}},
+		"a dropped entry":        {{good}, {put(job, value(""))}},
+		"an entry twice":         {{good}, {block(1, s1)}, {block(2, s1)}},
+		"an invented entry":      {{block(1, s1)}},
+		"a block again":          {{good}, {block(1, s1)}, {block(1, s1)}},
+		"a block deleted":        {{good}, {block(1, s1)}, {wire.Write{Delete: audit.BlockKey("n0", 1)}}},
+	} {
+		for _, broken := range []bool{false, true} { // all but the last transaction must be good
+			k := NewChecker(time.Second, nil)
+			r := newRecorder(k, func() time.Duration { return 0 })
+			keys := map[string]*wire.Item{core.Root + "audit/begun": {}}
+			list := txns
+			if !broken {
+				list = txns[:len(txns)-1]
+			}
+			for _, then := range list {
+				r.Txn(keys, wire.Txn{Then: then})
+				for _, x := range then {
+					keys[x.Put] = &wire.Item{Value: x.Value}
+				}
+			}
+			if (len(k.Broken) > 0) != broken || broken && !strings.HasPrefix(k.Broken[0], "unrecorded") {
+				t.Errorf("%s (%v): %v", name, broken, k.Broken)
+			}
+		}
+	}
+	k := NewChecker(time.Second, nil)
+	r := newRecorder(k, func() time.Duration { return time.Hour })
+	r.carried[entryID{"n0", 1, 1}] = 0
+	r.Finish(map[string]*wire.Item{job: {Value: good.Value}})
+	if len(k.Broken) != 1 {
+		t.Errorf("an entry that is carried for ever: %v", k.Broken)
+	}
+}
+
 func TestCheckerCatchesSpreadAndOneZone(t *testing.T) {
 	m1 := wire.Machine{Name: "m1", Type: "big", Zone: "a"}
 	m2 := wire.Machine{Name: "m2", Type: "big", Zone: "b"}
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dewlift/archive"
+	"dewlift/audit"
 	"dewlift/core"
 	"dewlift/wire"
 )
@@ -169,6 +170,9 @@
 	if len(failed) > 0 {
 		return 409, wire.TxnReply{Failed: failed, Ledger: s.ledger}
 	}
+	if s.w.opt.Audit {
+		s.w.recorder.Txn(s.keys, t)
+	}
 	s.ledger++
 	for _, w := range t.Then {
 		if w.Put != "" {
@@ -288,6 +292,11 @@
 	return slices.ContainsFunc(t.Then, func(x wire.Write) bool { return strings.HasPrefix(x.Put, archive.Prefix) })
 }
 
+// records reports whether a transaction extends the audit record.
+func records(t wire.Txn) bool {
+	return slices.ContainsFunc(t.Then, func(x wire.Write) bool { return strings.HasPrefix(x.Put, audit.Prefix) })
+}
+
 // checkKept checks that every accepted job is kept once, by its record or in the archive, and as its
 // users were told.
 func (w *World) checkKept() {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -24,6 +24,7 @@
 	Upgrade  bool // begin with the version in production and replace it, and have the limits fall
 	Chains   int  // pipelines of jobs that await others
 	Rights   bool // everyone needs a right, and they come and go
+	Audit    bool // what is done is recorded
 	History  bool // ended jobs move into the archive, nearly at once
 }
 
@@ -76,7 +77,9 @@
 	held  map[[2]string][]func()
 	req   uint64
 	teams []core.Team
-	Trace func(string, ...any)
+
+	recorder *recorder
+	Trace    func(string, ...any)
 }
 
 const (
@@ -96,6 +99,7 @@
 	limit := 40000 * int64(opt.Tasks) / 9
 	w.teams = []core.Team{{Name: "t0"}, {Name: "t1", CPU: limit * 2 / 5, CPUMax: limit}}
 	w.Check = NewChecker(cancelIn, map[string][2]int64{"t1": {limit, 0}})
+	w.recorder = newRecorder(w.Check, func() time.Duration { return w.now })
 	w.state = newState(w)
 	w.cloud = newCloud(w)
 	for i := 0; i < opt.Nodes; i++ {
@@ -128,6 +132,9 @@
 	if w.opt.Rights {
 		w.changeRights()
 	}
+	if w.opt.Audit {
+		w.readers()
+	}
 	if !w.opt.Quiet {
 		w.troubles()
 	}
@@ -145,6 +152,9 @@
 	}
 	w.Check.Finish()
 	w.checkKept()
+	if w.opt.Audit {
+		w.recorder.Finish(w.state.keys)
+	}
 }
 
 func (w *World) config(n *node) core.Config {
@@ -161,6 +171,10 @@
 	if w.opt.Rights {
 		cfg.Access = policy()
 	}
+	if w.opt.Audit {
+		cfg.AuditKey, cfg.TimeBoundMS, cfg.Settings = auditKey, 500, settingsOf(n)
+		cfg.AuditGather, cfg.AuditBlock = 2*time.Second, w.between(time.Second, 8*time.Second)
+	}
 	if w.opt.History {
 		cfg.Archive, cfg.EndedKept, cfg.HistoryCache = true, 1+int(w.opt.Seed%4), 1<<10
 	}
@@ -249,6 +263,9 @@
 		out := core.Committed{ID: o.ID}
 		w.checkForms(n, o.Txn)
 		late := 0.01
+		if w.opt.Audit && records(o.Txn) {
+			late = 0.06
+		}
 		if moves(o.Txn) { // rare elsewhere: here often late, or the last that their sender did
 			late = 0.15
 			if !w.opt.Quiet && w.chance(0.04) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 
 	"google.golang.org/protobuf/encoding/prototext"
 	protobuf "google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	pb "dewlift/proto"
 )
@@ -182,6 +184,43 @@
 		LinkLostMs: ptr(uint32(1500)), RoomAgainMs: ptr(uint32(4000)), ListMs: ptr(uint32(2500)), SettleMostMs: ptr(uint32(2000)),
 		LossGatherMs: ptr(uint32(700)), AcceptWaitMs: ptr(uint32(1500)), HealthMs: ptr(uint32(500)), LookAllMs: ptr(uint32(20000)), RentAheadMs: ptr(uint32(3000)),
 		Archive: ptr(false), EndedKept: ptr(uint32(5000)), HistoryCacheKb: ptr(uint32(4096)), HistoryShare: ptr(0.2), HistoryWaitMs: ptr(uint32(600000)),
+		AuditGatherMs: ptr(uint32(5000)), AuditBlockMs: ptr(uint32(20000)),
+	}
+}
+
+// Recorded lists all settings by name, as the audit record has them.
+func Recorded(p *Platform, t *pb.Tuning) map[string]string {
+	out := map[string]string{}
+	t.ProtoReflect().Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		out[string(f.Name())] = v.String()
+		return true
+	})
+	raw, err := json.Marshal(p)
+	var tree any
+	if err == nil {
+		err = json.Unmarshal(raw, &tree)
+	}
+	if err != nil {
+		panic(err) // it was read from JSON
+	}
+	flatten("", tree, out)
+	return out
+}
+
+// flatten lists the leaves of JSON by their paths.
+func flatten(path string, v any, out map[string]string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(strings.TrimPrefix(path+"."+k, "."), x, out)
+		}
+	case []any:
+		for i, x := range v {
+			flatten(fmt.Sprintf("%s[%d]", path, i), x, out)
+		}
+	case nil:
+	default:
+		out[path] = fmt.Sprint(v)
 	}
 }
 
@@ -240,6 +279,8 @@
 		{"history_cache_kb", float64(t.GetHistoryCacheKb()), 64, 1e6},
 		{"history_share", t.GetHistoryShare(), 0.01, 0.9},
 		{"history_wait_ms", float64(t.GetHistoryWaitMs()), 0, 86400000},
+		{"audit_gather_ms", float64(t.GetAuditGatherMs()), 1000, 60000},
+		{"audit_block_ms", float64(t.GetAuditBlockMs()), 1000, 600000},
 		{"settle_most_ms", float64(t.GetSettleMostMs()), 0, 2500},
 	} {
 		if !(r.v >= r.min && r.v <= r.max) {
--- a/snapshot/restore.go
+++ b/snapshot/restore.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -81,7 +82,12 @@
 	if err := w.flush(ctx); err != nil {
 		return nil, err
 	}
-	_, status, err := ask[wire.TxnReply](ctx, &t.Source, http.MethodPost, wire.PathCommit, wire.Txn{Then: []wire.Write{{Delete: keyRestoring}}})
+	text, err := json.Marshal(fmt.Sprintf("snapshot of %s, revision %d, digest %x", time.UnixMilli(head.TakenMs).UTC().Format(time.RFC3339), head.Ledger, head.Digest[:8]))
+	if err != nil {
+		return nil, err
+	}
+	// The controllers record it where they record anything.
+	_, status, err := ask[wire.TxnReply](ctx, &t.Source, http.MethodPost, wire.PathCommit, wire.Txn{Then: []wire.Write{{Delete: keyRestoring}, {Put: core.KeyRestored, Value: text}}})
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("state service answers %d", status)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,6 +18,7 @@
 	PathJobs    = "/v1/jobs"
 	PathHealth  = "/healthz"
 	PathAccess  = "/v1/access" // of ours: rights
+	PathAudit   = "/v1/audit"  // of ours: the audit record
 	PathSite    = "/v1/site"   // of ours: where the state service is
 	PathBeat    = "/agent/beat"
 	PathOrders  = "/orders"
@@ -31,6 +32,9 @@
 	PathChanges = "/changes"
 )
 
+// ForSnapshot tells, as a query of PathSite, that the state is to be saved.
+const ForSnapshot = "snapshot"
+
 // MaxBody is the largest request body.
 const MaxBody = 64 << 10
 
@@ -457,6 +461,30 @@
 	Text string `json:"rights"`
 }
 
+// AuditHead is the end of a controller's chain.
+type AuditHead struct {
+	Node   string `json:"node"`
+	Number uint64 `json:"number"` // of the last block
+	Code   []byte `json:"code"`
+}
+
+// AuditHeads lists the ends of all chains.
+type AuditHeads struct {
+	Heads []AuditHead `json:"heads"`
+}
+
+// AuditBlock is a block as it is stored.
+type AuditBlock struct {
+	Number uint64          `json:"number"`
+	Value  json.RawMessage `json:"value"`
+}
+
+// AuditPage is a part of a chain.
+type AuditPage struct {
+	Blocks []AuditBlock `json:"blocks"`
+	More   bool         `json:"more"`
+}
+
 // Site tells operators' commands where the state service is and what it takes of all together.
 type Site struct {
 	State    string  `json:"state"`
