Audit: lives of a controller are kept until nothing of them is left; tests

A controller killed time and again before it put anything into a block lost what its first lives had left: only eight lives were kept. The test with stand-in users over kills found it. Now lives are kept until what they left is in blocks and nothing of them can be executed late.

--- a/cmd/dewlift/main_test.go
+++ b/cmd/dewlift/main_test.go
@@ -40,6 +40,10 @@
 		{"snapshot save x --state nowhere", "not an address and port"},
 		{"snapshot save x --state 127.0.0.1:1 --share 2", "--share"},
 		{"job get 7", "not a job id"},
+		{"audit verify", "--audit-key is needed"},
+		{"audit verify --audit-key " + bad, "not a key"},
+		{"audit report", "--html FILE is needed"},
+		{"audit list --snapshot " + bad, "damaged snapshot"},
 	} {
 		_, err := command(strings.Fields(x.args)...)
 		if err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
--- a/controller.go
+++ b/controller.go
@@ -41,6 +41,7 @@
 }
 
 const (
+	lateMost = 15 * time.Minute // that a request to the state service is executed late; minutes were seen
 	tick     = 25 * time.Millisecond
 	queueLen = 4096
 )
@@ -92,7 +93,7 @@
 		Silent: ms(t.GetSilentMs()), BootPatience: t.GetBootPatience(), Settle: ms(t.GetSettleMs()),
 		CancelShare: t.GetCancelShare(),
 		Archive:     t.GetArchive(), EndedKept: int(t.GetEndedKept()), HistoryCache: int(t.GetHistoryCacheKb()) << 10,
-		AuditGather: ms(t.GetAuditGatherMs()), AuditBlock: ms(t.GetAuditBlockMs()), TimeBoundMS: uint32(k.TimeBoundMS),
+		AuditGather: ms(t.GetAuditGatherMs()), AuditBlock: ms(t.GetAuditBlockMs()), AuditForget: lateMost, TimeBoundMS: uint32(k.TimeBoundMS),
 		HistoryShare: t.GetHistoryShare(), HistoryWait: ms(t.GetHistoryWaitMs()),
 		WholePush: ms(t.GetWholePushMs()), PushGap: ms(t.GetPushGapMs()), OrderAgain: ms(t.GetOrderAgainMs()), ClearWait: ms(t.GetClearMs()), PassTime: ms(t.GetPassMs()),
 		LinkLost: ms(t.GetLinkLostMs()), RoomAgain: ms(t.GetRoomAgainMs()), ListEvery: ms(t.GetListMs()), SettleMost: ms(t.GetSettleMostMs()),
--- a/core/types.go
+++ b/core/types.go
@@ -80,6 +80,7 @@
 	AuditKey     audit.Key         // nil: nothing is recorded
 	AuditGather  time.Duration     // how long refusals and reads are gathered
 	AuditBlock   time.Duration     // how long other entries wait to share a block
+	AuditForget  time.Duration     // after which nothing of a controller's former lives is executed any more
 	TimeBoundMS  uint32            // how far the time of day may be off
 	Settings     map[string]string // as they are recorded
 	CancelShare  float64           // of CancelIn, after which machines with cancelled tasks are returned
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -173,6 +173,7 @@
 	}
 	if w.opt.Audit {
 		cfg.AuditKey, cfg.TimeBoundMS, cfg.Settings = auditKey, 500, settingsOf(n)
+		cfg.AuditForget = 60 * time.Second // requests are late by 40 s at most
 		cfg.AuditGather, cfg.AuditBlock = 2*time.Second, w.between(time.Second, 8*time.Second)
 	}
 	if w.opt.History {
