--- a/core/audit_test.go
+++ b/core/audit_test.go
@@ -282,6 +282,7 @@
 	if n := len(c.audit.heads["n0"].Lives); n != 41 {
 		t.Errorf("%d lives are kept", n)
 	}
+	c.leaseUntil = time.Minute
 	c.recordRead(anna, "audit", "audit", func(bool) {})
 	follow(t, c, 20*time.Second, 25*time.Second)
 	if lives := c.audit.heads["n0"].Lives; len(lives) != 1 || lives[0].Life != 41 {
