Own settings are described once: defaults, checks and docs/settings.md follow

Need: name, default, range and meaning of a setting stood in four places. Now its description in proto/tuning.proto is the only one. dewlift settings lists them.

--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -65,7 +65,7 @@
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dewlift "+version) },
-	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me))
+	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me), settingsCommand())
 	return cmd
 }
 
--- a/cmd/dewlift/main_test.go
+++ b/cmd/dewlift/main_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// The page of settings is the one that their descriptions give.
+func TestPageOfSettingsIsCurrent(t *testing.T) {
+	want, err := command("settings", "--markdown")
+	if err != nil {
+		t.Fatal(err)
+	}
+	have, err := os.ReadFile("../../docs/settings.md")
+	if err != nil || string(have) != want {
+		t.Errorf("docs/settings.md differs from `dewlift settings --markdown`: %v", err)
+	}
+}
+
 // From a new key to rights that can be put in force, as docs/operations/access.md has it; a key file is never replaced.
 func TestFirstKeys(t *testing.T) {
 	dir := t.TempDir()
--- /dev/null
+++ b/cmd/dewlift/settings.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"text/template"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"dewlift/settings"
+)
+
+// described is a setting as it is shown.
+type described struct {
+	Name    string  `json:"name"`
+	Default string  `json:"default"`
+	Switch  bool    `json:"switch,omitempty"` // true or false
+	Min     float64 `json:"min"`
+	Max     float64 `json:"max"`
+	Does    string  `json:"does"`
+	More    string  `json:"more,omitempty"`
+	Less    string  `json:"less,omitempty"`
+}
+
+func (d described) Range() string {
+	if d.Switch {
+		return "true or false"
+	}
+	return fmt.Sprintf("%v to %v", d.Min, d.Max)
+}
+
+func allSettings() (out []described) {
+	for _, s := range settings.Own() {
+		a := s.About
+		out = append(out, described{Name: s.Name, Default: s.Default(), Switch: s.Kind == protoreflect.BoolKind, Min: a.GetMin(), Max: a.GetMax(), Does: a.GetDoes(), More: a.GetMore(), Less: a.GetLess()})
+	}
+	return out
+}
+
+var settingsPage = template.Must(template.New("settings").Parse("# Own settings\n\n" +
+	"Written by `dewlift settings --markdown` from `proto/tuning.proto`. All are optional; `--tuning FILE` names a file in protobuf text format.\n\n" +
+	"| setting | default | range | what it does | more of it | less of it |\n| --- | --- | --- | --- | --- | --- |\n" +
+	"{{range .}}| `{{.Name}}` | {{.Default}} | {{.Range}} | {{.Does}} | {{.More}} | {{.Less}} |\n{{end}}"))
+
+func settingsCommand() *cobra.Command {
+	var markdown, asJSON bool
+	cmd := &cobra.Command{
+		Use: "settings", Short: "List the operators' own settings, their defaults and ranges", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := cmd.OutOrStdout()
+			switch {
+			case markdown:
+				return settingsPage.Execute(out, allSettings())
+			case asJSON:
+				return json.NewEncoder(out).Encode(allSettings())
+			}
+			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			for _, d := range allSettings() {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", d.Name, d.Default, d.Range(), d.Does)
+			}
+			return w.Flush()
+		},
+	}
+	cmd.Flags().BoolVar(&markdown, "markdown", false, "as docs/settings.md")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	return cmd
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -170,22 +170,47 @@
 	return nil
 }
 
-func ptr[T any](v T) *T { return &v }
+// Setting is one of the operators' own settings, as proto/tuning.proto describes it.
+type Setting struct {
+	Name  string
+	Kind  protoreflect.Kind // bool, uint32 or double
+	About *pb.About
+	field protoreflect.FieldDescriptor
+}
+
+// Own lists the operators' own settings, in the order of their descriptions.
+func Own() []Setting {
+	fields := (&pb.Tuning{}).ProtoReflect().Descriptor().Fields()
+	out := make([]Setting, fields.Len())
+	for i := range out {
+		f := fields.Get(i)
+		about, _ := protobuf.GetExtension(f.Options(), pb.E_About).(*pb.About) // without one its range is empty, which tests find
+		out[i] = Setting{Name: string(f.Name()), Kind: f.Kind(), About: about, field: f}
+	}
+	return out
+}
+
+// value is a number as a field of the setting holds it.
+func (s *Setting) value(v float64) protoreflect.Value {
+	switch s.Kind {
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(v != 0)
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(uint32(v))
+	}
+	return protoreflect.ValueOfFloat64(v)
+}
+
+// Default is the setting's value by default, as it is written in a file.
+func (s *Setting) Default() string { return s.value(s.About.Is).String() }
 
 // Defaults returns the built-in tuning.
 func Defaults() *pb.Tuning {
-	return &pb.Tuning{
-		LeaseMs: ptr(uint32(4000)), Shards: ptr(uint32(12)), WatchGapMs: ptr(uint32(150)), BarrierGapMs: ptr(uint32(200)),
-		WriteShare: ptr(0.95), DeltaMs: ptr(uint32(50)), PushMs: ptr(uint32(500)), ExpireMs: ptr(uint32(30000)),
-		ProbeRatio: ptr(2.0), RandomFill: ptr(false), PreferImage: ptr(true), PreferSpot: ptr(true), HorizonMs: ptr(uint32(10000)),
-		SpareShare: ptr(0.25), SpareService: ptr(0.2), SpareDeviations: ptr(1.0), IdleBoots: ptr(0.0), SoonBoots: ptr(1.0), IdleMs: ptr(uint32(4000)), SilentMs: ptr(uint32(2500)), BootPatience: ptr(3.0),
-		SettleMs: ptr(uint32(300)), CancelShare: ptr(0.35),
-		WholePushMs: ptr(uint32(10000)), PushGapMs: ptr(uint32(100)), OrderAgainMs: ptr(uint32(1000)), ClearMs: ptr(uint32(2000)), PassMs: ptr(uint32(3000)),
-		LinkLostMs: ptr(uint32(1500)), RoomAgainMs: ptr(uint32(4000)), ListMs: ptr(uint32(2500)), SettleMostMs: ptr(uint32(2000)),
-		LossGatherMs: ptr(uint32(700)), AcceptWaitMs: ptr(uint32(1500)), HealthMs: ptr(uint32(500)), LookAllMs: ptr(uint32(20000)), RentAheadMs: ptr(uint32(3000)),
-		Archive: ptr(false), EndedKept: ptr(uint32(5000)), HistoryCacheKb: ptr(uint32(4096)), HistoryShare: ptr(0.2), HistoryWaitMs: ptr(uint32(600000)),
-		AuditGatherMs: ptr(uint32(5000)), AuditBlockMs: ptr(uint32(20000)),
+	t := &pb.Tuning{}
+	for _, s := range Own() {
+		t.ProtoReflect().Set(s.field, s.value(s.About.Is))
 	}
+	return t
 }
 
 // Recorded lists all settings by name, as the audit record has them.
@@ -247,44 +272,18 @@
 
 // CheckTuning names the first bad value.
 func CheckTuning(t *pb.Tuning) error {
-	for _, r := range []struct {
-		field    string
-		v        float64
-		min, max float64
-	}{
-		{"lease_ms", float64(t.GetLeaseMs()), 1000, 60000}, {"shards", float64(t.GetShards()), 1, 64},
-		{"watch_gap_ms", float64(t.GetWatchGapMs()), 10, 5000}, {"barrier_gap_ms", float64(t.GetBarrierGapMs()), 10, 1500},
-		{"write_share", t.GetWriteShare(), 0.05, 1}, {"delta_ms", float64(t.GetDeltaMs()), 20, 60000},
-		{"push_ms", float64(t.GetPushMs()), 20, 120000}, {"expire_ms", float64(t.GetExpireMs()), 100, 600000},
-		{"probe_ratio", t.GetProbeRatio(), 1, 100}, {"spare_share", t.GetSpareShare(), 0, 10},
-		{"spare_service", t.GetSpareService(), 0, 10}, {"spare_deviations", t.GetSpareDeviations(), 0, 100}, {"horizon_ms", float64(t.GetHorizonMs()), 0, 3600000}, {"idle_boots", t.GetIdleBoots(), 0, 100},
-		{"soon_boots", t.GetSoonBoots(), 0, 100},
-		{"idle_ms", float64(t.GetIdleMs()), 0, 3600000}, {"silent_ms", float64(t.GetSilentMs()), 500, 3600000},
-		{"boot_patience", t.GetBootPatience(), 1, 100}, {"settle_ms", float64(t.GetSettleMs()), 0, 2000},
-		{"cancel_share", t.GetCancelShare(), 0.05, 0.9},
-		{"whole_push_ms", float64(t.GetWholePushMs()), 100, 600000},
-		{"push_gap_ms", float64(t.GetPushGapMs()), 20, 10000},
-		{"order_again_ms", float64(t.GetOrderAgainMs()), 100, 10000},
-		{"clear_ms", float64(t.GetClearMs()), 0, 10000},
-		{"pass_ms", float64(t.GetPassMs()), 500, 30000},
-		{"link_lost_ms", float64(t.GetLinkLostMs()), 600, 30000},
-		{"room_again_ms", float64(t.GetRoomAgainMs()), 500, 60000},
-		{"list_ms", float64(t.GetListMs()), 500, 60000},
-		{"loss_gather_ms", float64(t.GetLossGatherMs()), 0, 5000},
-		{"accept_wait_ms", float64(t.GetAcceptWaitMs()), 100, 1800},
-		{"health_ms", float64(t.GetHealthMs()), 100, 1000},
-		{"look_all_ms", float64(t.GetLookAllMs()), 1000, 600000},
-		{"rent_ahead_ms", float64(t.GetRentAheadMs()), 0, 60000},
-		{"ended_kept", float64(t.GetEndedKept()), 1, 1e6},
-		{"history_cache_kb", float64(t.GetHistoryCacheKb()), 64, 1e6},
-		{"history_share", t.GetHistoryShare(), 0.01, 0.9},
-		{"history_wait_ms", float64(t.GetHistoryWaitMs()), 0, 86400000},
-		{"audit_gather_ms", float64(t.GetAuditGatherMs()), 1000, 60000},
-		{"audit_block_ms", float64(t.GetAuditBlockMs()), 1000, 600000},
-		{"settle_most_ms", float64(t.GetSettleMostMs()), 0, 2500},
-	} {
-		if !(r.v >= r.min && r.v <= r.max) {
-			return fmt.Errorf("%s is %v, must be from %v to %v", r.field, r.v, r.min, r.max)
+	for _, s := range Own() {
+		var v float64
+		switch s.Kind {
+		case protoreflect.BoolKind:
+			continue
+		case protoreflect.Uint32Kind:
+			v = float64(t.ProtoReflect().Get(s.field).Uint())
+		default:
+			v = t.ProtoReflect().Get(s.field).Float()
+		}
+		if !(v >= s.About.GetMin() && v <= s.About.GetMax()) {
+			return fmt.Errorf("%s is %v, must be from %v to %v", s.Name, v, s.About.GetMin(), s.About.GetMax())
 		}
 	}
 	if t.GetExpireMs() <= t.GetPushMs() {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
 func file(t *testing.T, body string) string {
@@ -36,6 +38,16 @@
 	}
 }
 
+// Each setting is described, and its default lies in its range.
+func TestEverySettingIsDescribed(t *testing.T) {
+	for _, s := range Own() {
+		a := s.About
+		if a.GetDoes() == "" || (a.GetMore() == "") != (a.GetLess() == "") || s.Kind != protoreflect.BoolKind && !(a.Min < a.Max && a.Min <= a.Is && a.Is <= a.Max) {
+			t.Errorf("%s: %v", s.Name, a)
+		}
+	}
+}
+
 func TestTuning(t *testing.T) {
 	if err := CheckTuning(Defaults()); err != nil {
 		t.Fatal(err)
