--- a/api/gate_test.go
+++ b/api/gate_test.go
@@ -17,6 +17,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"dewlift/access"
+	"dewlift/audit"
 	"dewlift/internal/testcert"
 	pb "dewlift/proto"
 	"dewlift/secure"
@@ -190,3 +191,53 @@
 		}
 	}
 }
+
+// Whatever a certificate is for, it is good for an identity of exactly that name that may use one, and what is refused
+// is recorded under no name that was not proven.
+func FuzzCertificateName(f *testing.F) {
+	for _, s := range []string{"anna", "anna ", "Anna", "ann\x00a", "potter", "", "*", "anna,O=x", "\xff"} {
+		f.Add(s, "")
+	}
+	f.Add("anna", "Bearer x.y.z")
+	g, _ := gateFor(f, "anna", "potter")
+	p, err := access.New(&pb.Access{Identities: []*pb.Identity{{Name: "anna", Certificate: true}, {Name: "potter"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	g.set(p)
+	f.Fuzz(func(t *testing.T, name, header string) {
+		by, status, why := g.who(header, name, time.Unix(1_800_000_000, 0))
+		good := header == "" && name == "anna"
+		if (status == 0) != good || good && (by.Who != "anna" || by.Key != access.CertificateKey) || !good && (by.Who != "" || why == "") {
+			t.Errorf("%q with %q: %+v, %d %s", name, header, by, status, why)
+		}
+	})
+}
+
+// Requests of nobody known are handed on to be recorded, counted, and what a flood asked for takes bounded room.
+func TestRefusedRequestsAreHandedOn(t *testing.T) {
+	g, _ := gateFor(t, "anna")
+	s := New(nil, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s.gate = g
+	app := s.app()
+	for i := range 2000 {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("/v1/jobs/wk-%d", i), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := app.Test(req)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized {
+			t.Fatal(resp, err)
+		}
+	}
+	items, total := s.Refused(), uint32(0)
+	for _, it := range items {
+		total += it.Count
+		if it.Who != "" || it.Verb != http.MethodGet || it.Why == "" && it.Object != audit.Others {
+			t.Errorf("%+v", it)
+		}
+	}
+	if total != 2000 || len(items) > 300 || len(s.Refused()) != 0 {
+		t.Errorf("%d requests in %d items", total, len(items))
+	}
+}
--- a/core/audit.go
+++ b/core/audit.go
@@ -330,7 +330,10 @@
 		if a.ready {
 			c.note("error", "the chain of the audit record was continued by another process, or set back", "block", h.Number)
 		}
-		a.ready, a.tries = false, nil
+		// What this life has sent shows with the changes, as a former life's.
+		a.ready, a.life, a.tries = false, 0, nil
+		clear(a.sent)
+		clear(a.unsure)
 		// The last block of a former life may be written after its entries were read here.
 		a.queue = slices.DeleteFunc(a.queue, func(q queued) bool {
 			if !h.Has(q.life, q.count) {
--- a/core/core.go
+++ b/core/core.go
@@ -850,8 +850,8 @@
 		j := c.job(key[len(keyJob):])
 		j.load = c.loads
 		if mark <= j.mark {
-			if len(c.audit.unsure[key]) > 0 { // its own write's reply came before
-				c.notCarried(key, mark)
+			if j.rec != nil { // its own write's reply came before
+				c.sawCarried(key, j.mark, j.rec.Carried)
 			}
 			return
 		}
--- a/internal/measure/history/main.go
+++ b/internal/measure/history/main.go
@@ -12,10 +12,8 @@
 	"fmt"
 	"log"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -24,14 +22,13 @@
 
 	"dewlift/archive"
 	"dewlift/core"
+	"dewlift/internal/measure/process"
 	"dewlift/internal/standin"
 	"dewlift/wire"
 )
 
 const (
-	share    = 0.276 // of a core, that a controller has; the process here has a whole one
 	liveJobs = 2000
-	patience = 3 * time.Minute // for a process to be healthy
 
 	keptRecords = 7500 // of an archived history, the jobs that ended last, which have records still
 )
@@ -204,134 +201,13 @@
 	return nil
 }
 
-// site is a controller's process and the stand-in that it uses.
-type site struct {
-	state *standin.State
-	srv   *http.Server
-	addr  string
-	cmd   *exec.Cmd
-	done  chan error
-	dir   string
-	began time.Time
-}
-
-func start(bin string, s *standin.State, rps, writeRPS, quota float64, tuning string) (*site, error) {
-	x := &site{state: s, done: make(chan error, 1)}
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	x.srv = &http.Server{Handler: s}
-	go func() { _ = x.srv.Serve(ln) }()
-	ports := make([]string, 3)
-	for i := range ports { // free ones; the cloud's has nobody behind it
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return nil, err
-		}
-	}
-	x.addr = ports[0]
-	if x.dir, err = os.MkdirTemp("", "history-*"); err != nil {
-		return nil, err
-	}
-	cfg := fmt.Sprintf(`{"node_name":"n0","zone":"a","serve_on":%q,"mesh_addr":%q,"peers":[],"services":{"cloud":%q,"state":%q},
-		"cluster":{"count":1,"zones":["a"],"teams":[{"name":"t"}],"workers":{"report_s":6,"lease_s":36,"cancel_s":66},
-		"state":{"rps":%v,"write_rps":%v,"value_kb":8,"txn_ops":24},"cloud":{"rps":4,"list_lag_s":5},"quota":{"core_share":%v,"mem_mb":%v,"fd_limit":3172},"time_bound_ms":5}}`,
-		ports[0], ports[1], ports[2], ln.Addr().String(), rps, writeRPS, share, quota)
-	args := []string{"--config", filepath.Join(x.dir, "settings.json")}
-	if err := os.WriteFile(args[1], []byte(cfg), 0o600); err != nil {
-		return nil, err
-	}
-	if tuning != "" {
-		args = append(args, "--tuning", filepath.Join(x.dir, "tuning.textproto"))
-		if err := os.WriteFile(args[3], []byte(tuning), 0o600); err != nil {
-			return nil, err
-		}
-	}
-	logs, err := os.Create(filepath.Join(x.dir, "log"))
-	if err != nil {
-		return nil, err
-	}
-	defer logs.Close()
-	x.cmd = exec.Command(bin, args...)
-	x.cmd.Stderr = logs
-	x.began = time.Now()
-	if err := x.cmd.Start(); err != nil {
-		return nil, err
-	}
-	go func() { x.done <- x.cmd.Wait() }()
-	return x, nil
-}
-
-func (x *site) stop() error {
-	if x.cmd.ProcessState == nil {
-		_ = x.cmd.Process.Kill() // it may have ended by itself
-		<-x.done
-	}
-	return errors.Join(x.srv.Close(), os.RemoveAll(x.dir))
-}
-
 var client = http.Client{Timeout: 2 * time.Second}
 
-// healthy waits until the process can take requests.
-func (x *site) healthy() (time.Duration, error) {
-	for time.Since(x.began) < patience {
-		select {
-		case err := <-x.done:
-			return 0, fmt.Errorf("it ended: %w", err)
-		case <-time.After(20 * time.Millisecond):
-		}
-		if resp, err := client.Get("http://" + x.addr + wire.PathHealth); err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return time.Since(x.began), nil
-			}
-		}
-	}
-	return 0, fmt.Errorf("not healthy after %v", patience)
-}
-
-// usage is the processor time and the peak of memory of the process.
-func (x *site) usage() (cpu time.Duration, peakMB float64, err error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", x.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0, err
-	}
-	for line := range strings.Lines(string(raw)) {
-		if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.ParseFloat(strings.Fields(v)[0], 64)
-			if err != nil {
-				return 0, 0, err
-			}
-			peakMB = kb / 1024
-		}
-	}
-	raw, err = os.ReadFile(fmt.Sprintf("/proc/%d/stat", x.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0, err
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	f := strings.Fields(rest)
-	var ticks int64
-	for _, s := range f[11:13] { // user and system time, in hundredths of a second
-		v, err := strconv.ParseInt(s, 10, 64)
-		if err != nil {
-			return 0, 0, err
-		}
-		ticks += v
-	}
-	return time.Duration(ticks) * 10 * time.Millisecond, peakMB, nil
-}
-
 // poll asks for a job and tells whether the answer is right.
-func (x *site) poll(id, stage string, done int) (right bool, took time.Duration) {
+func poll(x *process.Site, id, stage string, done int) (right bool, took time.Duration) {
 	began := time.Now()
 	for range 5 { // a 503 is no answer
-		resp, err := client.Get("http://" + x.addr + wire.PathJobs + "/" + id)
+		resp, err := client.Get("http://" + x.Addr + wire.PathJobs + "/" + id)
 		if err != nil {
 			continue
 		}
@@ -350,7 +226,7 @@
 }
 
 // polls asks for ended jobs chosen at random, and for some that never were.
-func (x *site) polls(entries []archive.Entry, n int) (wrong int, median time.Duration) {
+func polls(x *process.Site, entries []archive.Entry, n int) (wrong int, median time.Duration) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	var took []time.Duration
 	for range n {
@@ -359,11 +235,11 @@
 		if e.Cancelled {
 			stage = wire.StageCancelled
 		}
-		right, t := x.poll(e.ID, stage, e.Done)
+		right, t := poll(x, e.ID, stage, e.Done)
 		if took = append(took, t); !right {
 			wrong++
 		}
-		if right, _ := x.poll("wk-never-"+e.ID[3:], "", 0); !right {
+		if right, _ := poll(x, "wk-never-"+e.ID[3:], "", 0); !right {
 			wrong++
 		}
 	}
@@ -387,31 +263,31 @@
 	if f.Version == "now" {
 		tuning = "archive: true history_wait_ms: 0"
 	}
-	x, err := start(bin, s, f.RPS, 30, quota, tuning)
+	x, err := process.Start(bin, s, process.Options{RPS: f.RPS, WriteRPS: 30, MemMB: quota, Tuning: tuning})
 	if err != nil {
 		return err
 	}
-	took, err := x.healthy()
+	took, err := x.Healthy()
 	if err != nil {
 		f.Ended = err.Error()
-		return x.stop()
+		return x.Stop()
 	}
 	f.HealthyS = took.Seconds()
 	f.Requests = s.Count()["requests"]
-	cpu, _, err := x.usage()
+	cpu, _, err := x.Usage()
 	if err != nil {
-		return errors.Join(err, x.stop())
+		return errors.Join(err, x.Stop())
 	}
 	f.CPUS = cpu.Seconds()
-	f.ShareS = max(f.HealthyS, f.CPUS/share)
+	f.ShareS = max(f.HealthyS, f.CPUS/process.Share)
 	f.Polls = 60
-	wrong, median := x.polls(entries, f.Polls/2)
+	wrong, median := polls(x, entries, f.Polls/2)
 	f.Wrong, f.PollMS = wrong, float64(median.Microseconds())/1000
-	f.Committed = s.Count()["changes"]
-	if _, f.PeakMB, err = x.usage(); err != nil {
-		return errors.Join(err, x.stop())
+	f.Committed = s.Count()["changed"]
+	if _, f.PeakMB, err = x.Usage(); err != nil {
+		return errors.Join(err, x.Stop())
 	}
-	return x.stop()
+	return x.Stop()
 }
 
 // Moved is what moving records took.
@@ -435,12 +311,12 @@
 	if err := fill(s, entries, false); err != nil {
 		return nil, err
 	}
-	x, err := start(bin, s, 1000, 1000, quota, "archive: true history_wait_ms: 0")
+	x, err := process.Start(bin, s, process.Options{RPS: 1000, WriteRPS: 1000, MemMB: quota, Tuning: "archive: true history_wait_ms: 0"})
 	if err != nil {
 		return nil, err
 	}
-	if _, err := x.healthy(); err != nil {
-		return nil, errors.Join(err, x.stop())
+	if _, err := x.Healthy(); err != nil {
+		return nil, errors.Join(err, x.Stop())
 	}
 	m := &Moved{Jobs: n}
 	began := time.Now()
@@ -449,25 +325,25 @@
 	for left := n; left > 10_100; { // those that ended last stay
 		select {
 		case <-ctx.Done():
-			return nil, errors.Join(fmt.Errorf("%d records are left", left), x.stop())
+			return nil, errors.Join(fmt.Errorf("%d records are left", left), x.Stop())
 		case <-time.After(200 * time.Millisecond):
 		}
-		wrong, _ := x.polls(entries, 2)
+		wrong, _ := polls(x, entries, 2)
 		m.Wrong, m.Polls = m.Wrong+wrong, m.Polls+4
 		left, _ = s.Keys(core.Root + "job/wk-0")
 	}
 	m.TookS = time.Since(began).Seconds()
 	left, _ := s.Keys(core.Root + "job/wk-0")
 	gone := n - left
-	m.Jobs, m.Changes = gone, s.Count()["changes"]
+	m.Jobs, m.Changes = gone, s.Count()["changed"]
 	var bytes int
 	m.Blocks, bytes = s.Keys(archive.Prefix)
 	m.PerJob = float64(m.Changes) / float64(gone)
 	m.Beyond, m.BytesPerJob = m.PerJob-1, float64(bytes)/float64(gone)
-	if _, m.PeakMB, err = x.usage(); err != nil {
-		return nil, errors.Join(err, x.stop())
+	if _, m.PeakMB, err = x.Usage(); err != nil {
+		return nil, errors.Join(err, x.Stop())
 	}
 	log.Printf("moved %d jobs in %.0f s: %.3f changes a job, %.3f beyond the deletion of its record; %d blocks, %.1f B/job; peak %.0f MB; %d of %d answers wrong",
 		m.Jobs, m.TookS, m.PerJob, m.Beyond, m.Blocks, m.BytesPerJob, m.PeakMB, m.Wrong, m.Polls)
-	return m, x.stop()
+	return m, x.Stop()
 }
--- a/internal/measure/history/report.go
+++ b/internal/measure/history/report.go
@@ -13,6 +13,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"dewlift/internal/measure/process"
 )
 
 var page = template.Must(template.New("report").Parse(`<!doctype html>
@@ -110,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	err = page.Execute(out, map[string]any{"Starts": starts, "Moved": moved, "Plots": plots, "Live": liveJobs, "Share": share,
+	err = page.Execute(out, map[string]any{"Starts": starts, "Moved": moved, "Plots": plots, "Live": liveJobs, "Share": process.Share,
 		"Machine": fmt.Sprintf("Measured on %d processors, %s", runtime.NumCPU(), runtime.Version())})
 	if cerr := out.Close(); err == nil {
 		err = cerr
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -267,7 +267,7 @@
 	if len(failed) > 0 {
 		return http.StatusConflict, wire.TxnReply{Failed: failed, Ledger: s.ledger}
 	}
-	s.count["changes"] += len(t.Then)
+	s.count["changed"] += len(t.Then) // "changes" are the requests of that path
 	if len(t.Then) > 0 {
 		s.ledger++
 	}
