--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -80,6 +80,7 @@
 
 	recorder *recorder
 	Trace    func(string, ...any)
+	Seen     func(node string, o core.Output) // is shown every output of a controller
 }
 
 const (
@@ -95,7 +96,7 @@
 func New(opt Options) *World {
 	opt.Nodes, opt.Fleet, opt.Tasks = cmp.Or(opt.Nodes, 3), cmp.Or(opt.Fleet, 14), cmp.Or(opt.Tasks, 9)
 	w := &World{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 77)), cut: map[[2]string]bool{}, held: map[[2]string][]func(){},
-		Trace: func(string, ...any) {}}
+		Trace: func(string, ...any) {}, Seen: func(string, core.Output) {}}
 	limit := 40000 * int64(opt.Tasks) / 9
 	w.teams = []core.Team{{Name: "t0"}, {Name: "t1", CPU: limit * 2 / 5, CPUMax: limit}}
 	w.Check = NewChecker(cancelIn, map[string][2]int64{"t1": {limit, 0}})
@@ -236,6 +237,7 @@
 }
 
 func (w *World) do(n *node, o core.Output) {
+	w.Seen(n.name, o)
 	life := n.life
 	back := func(in core.Input) {
 		if n.life == life && !n.down {
