--- a/internal/sim/digest_test.go
+++ b/internal/sim/digest_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,31 +62,32 @@
 // change it writes the digests anew: go test ./internal/sim -run Digest -update
 func TestDigestOfOutputsIsKept(t *testing.T) {
 	const file = "testdata/digests.json"
-	got := map[string]string{}
-	for name, o := range digestWorlds() {
-		got[name] = digestOf(t, o)
-	}
-	if *update {
-		raw, err := json.MarshalIndent(got, "", "  ")
-		if err == nil {
-			err = os.WriteFile(file, append(raw, '\n'), 0o644)
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	raw, err := os.ReadFile(file)
 	want := map[string]string{}
-	if err == nil {
-		err = json.Unmarshal(raw, &want)
-	}
-	if err != nil {
-		t.Fatal(err)
+	if *update {
+		t.Cleanup(func() {
+			raw, err := json.MarshalIndent(want, "", "  ")
+			if err == nil {
+				err = os.WriteFile(file, append(raw, '\n'), 0o644)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		})
+	} else if raw, err := os.ReadFile(file); err != nil || json.Unmarshal(raw, &want) != nil {
+		t.Fatalf("%s: %v", file, err)
 	}
-	for name := range got {
-		if got[name] != want[name] {
-			t.Errorf("%s: %s, was %s", name, got[name], want[name])
-		}
+	var mu sync.Mutex
+	for name, o := range digestWorlds() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := digestOf(t, o)
+			mu.Lock()
+			defer mu.Unlock()
+			if *update {
+				want[name] = got
+			} else if got != want[name] {
+				t.Errorf("%s, was %s", got, want[name])
+			}
+		})
 	}
 }
