--- a/audit/report/report.go
+++ b/audit/report/report.go
@@ -158,7 +158,7 @@
 		p.Legend.Add(verb, b)
 	}
 	p.Legend.Top = true
-	p.Y.Max *= 1.25 // room for the legend
+	p.X.Max += max(0.5, 0.2*float64(len(days))) // room for the legend
 	to, err := p.WriterTo(8*vg.Inch, 4*vg.Inch, "png")
 	if err != nil {
 		return "", err
