--- a/core/audit.go
+++ b/core/audit.go
@@ -11,6 +11,7 @@
 
 	"dewlift/access"
 	"dewlift/audit"
+	"dewlift/core/ledger"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -655,21 +656,21 @@
 }
 
 // stopsOf are the acts of tasks that were stopped, one for each cause.
-func stopsOf(id string, why []reason) (acts []act) {
+func stopsOf(id string, why []ledger.Reason) (acts []act) {
 	causes := map[string]*struct {
-		tasks    ranges
+		tasks    ledger.Ranges
 		machines []string
 	}{}
 	for _, w := range why {
 		x := causes[w.Cause]
 		if x == nil {
 			x = new(struct {
-				tasks    ranges
+				tasks    ledger.Ranges
 				machines []string
 			})
 			causes[w.Cause] = x
 		}
-		x.tasks = x.tasks.add(w.Task)
+		x.tasks = x.tasks.Add(w.Task)
 		if !slices.Contains(x.machines, w.Machine) {
 			x.machines = append(x.machines, w.Machine)
 		}
@@ -689,7 +690,7 @@
 		if n := len(x.machines) - 3; n > 0 {
 			machines += fmt.Sprintf(" and %d more", n)
 		}
-		acts = append(acts, act{verb: verbStop, object: id, why: fmt.Sprintf("%s: %d tasks on %s: %s", cause, x.tasks.count(), machines, strings.Join(tasks, " "))})
+		acts = append(acts, act{verb: verbStop, object: id, why: fmt.Sprintf("%s: %d tasks on %s: %s", cause, x.tasks.Count(), machines, strings.Join(tasks, " "))})
 	}
 	return acts
 }
--- a/core/audit_test.go
+++ b/core/audit_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dewlift/audit"
+	"dewlift/core/ledger"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -108,10 +109,10 @@
 		t.Fatalf("the mark carries %v", got)
 	}
 	for _, a := range j.place {
-		c.markGone(c.machines[a.machine])
+		c.markGone(c.machines[a.Machine])
 	}
 	follow(t, c, 4*time.Second, 9*time.Second)
-	if len(j.rec.Carried) != 1 || j.rec.Stage != stCancelled || j.rec.Spec != nil {
+	if len(j.rec.Carried) != 1 || j.rec.Stage != ledger.Cancelled || j.rec.Spec != nil {
 		t.Errorf("the record carries %+v", j.rec.Carried)
 	}
 }
@@ -292,11 +293,11 @@
 
 // What stopped is told by cause, in short.
 func TestStopsAreToldByCause(t *testing.T) {
-	var why []reason
+	var why []ledger.Reason
 	for i := range 6 {
-		why = append(why, reason{Task: i, Machine: fmt.Sprint("m", i), Cause: "silent"})
+		why = append(why, ledger.Reason{Task: i, Machine: fmt.Sprint("m", i), Cause: "silent"})
 	}
-	why = append(why, reason{Task: 9, Machine: "m1", Cause: "error"})
+	why = append(why, ledger.Reason{Task: 9, Machine: "m1", Cause: "error"})
 	acts := stopsOf("wk-1", why)
 	if len(acts) != 2 || acts[0].why != "error: 1 tasks on m1: 9" || acts[1].why != "silent: 6 tasks on m0 m1 m2 and 3 more: 0-5" {
 		t.Errorf("%+v", acts)
--- a/core/awaits.go
+++ b/core/awaits.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -34,7 +35,7 @@
 	for _, id := range j.rec.Spec.Awaits {
 		o := c.job(id)
 		j.needs = append(j.needs, o)
-		if o.rec != nil && o.rec.Stage == stDone {
+		if o.rec != nil && o.rec.Stage == ledger.Done {
 			continue
 		}
 		j.waits++
@@ -64,7 +65,7 @@
 	next := j.next
 	j.next = nil
 	c.leave(j)
-	if j.rec.Stage == stDone {
+	if j.rec.Stage == ledger.Done {
 		for _, n := range next {
 			if n.waits--; n.waits == 0 && !n.final() {
 				n.readyMS = c.unixMS()
@@ -147,7 +148,7 @@
 		switch {
 		case o == nil:
 			unknown = id
-		case o.rec.Stage == stDone:
+		case o.rec.Stage == ledger.Done:
 		case o.final():
 			cancelled = o.root()
 			left = append(left, id)
@@ -162,14 +163,14 @@
 // all jobs that it needs have started all their tasks.
 func (c *Core) readyIn(j *job) (in time.Duration, ok bool) {
 	for _, o := range j.needs {
-		if o.rec == nil || o.rec.Stage == stDone {
+		if o.rec == nil || o.rec.Stage == ledger.Done {
 			continue
 		}
-		if o.rec.Spec == nil || o.waits > 0 || o.final() || o.rec.Done.count()+len(o.place) < o.rec.Spec.Tasks {
+		if o.rec.Spec == nil || o.waits > 0 || o.final() || o.rec.Done.Count()+len(o.place) < o.rec.Spec.Tasks {
 			return 0, false
 		}
 		for _, a := range o.place {
-			in = max(in, c.leftOf(o, c.machines[a.machine], a))
+			in = max(in, c.leftOf(o, c.machines[a.Machine], a))
 		}
 	}
 	return in, true
--- a/core/core.go
+++ b/core/core.go
@@ -12,6 +12,7 @@
 
 	"dewlift/audit"
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -89,7 +90,7 @@
 	noticed time.Duration // when the notice runs out; 0: none
 	digest  uint64        // of what it reported last
 	pieces  map[attKey]piece
-	asg     map[taskKey]asg
+	asg     map[taskKey]ledger.Asg
 	att     map[attKey]*attempt
 
 	occ      ccs.Vec // room taken, if occKnown
@@ -120,8 +121,8 @@
 	idx   int32
 	id    string
 	mark  uint64 // 0: not known to exist
-	rec   *record
-	place []asg
+	rec   *ledger.Record
+	place []ledger.Asg
 
 	inflight bool
 	resync   bool // an unknown outcome is being cleared up by a read barrier
@@ -384,13 +385,30 @@
 		return c.machines[i]
 	}
 	m := &machine{name: name, idx: int32(len(c.machines)), first: c.now, heard: c.now, pieces: map[attKey]piece{},
-		asg: map[taskKey]asg{}, att: map[attKey]*attempt{}, images: map[string]bool{}}
+		asg: map[taskKey]ledger.Asg{}, att: map[attKey]*attempt{}, images: map[string]bool{}}
 	c.machineIdx[name] = m.idx
 	c.machines = append(c.machines, m)
 	c.alive = append(c.alive, m)
 	return m
 }
 
+// seat interns a machine in a zone; of one that has not reported, the zone is not known otherwise.
+func (c *Core) seat(name, zone string) int32 {
+	m := c.machine(name)
+	if m.zone == "" {
+		m.zone = zone
+	}
+	return m.idx
+}
+
+// encodeRecord renders a job's record.
+func (c *Core) encodeRecord(r *ledger.Record, place []ledger.Asg, packed bool) (json.RawMessage, error) {
+	return ledger.Encode(r, place, packed, func(machine int32) (name, zone string) {
+		m := c.machines[machine]
+		return m.name, m.zone
+	})
+}
+
 // job interns a job by id.
 func (c *Core) job(id string) *job {
 	if i, ok := c.jobIdx[id]; ok {
@@ -833,7 +851,7 @@
 			c.gained(n)
 		}
 	case key == keyTypes:
-		v, err := decodeCatalog(raw)
+		v, err := ledger.DecodeCatalog(raw)
 		if err != nil {
 			bad(err)
 			return
@@ -855,14 +873,14 @@
 			}
 			return
 		}
-		r, err := decodeRecord(raw)
+		r, err := ledger.Decode(raw)
 		if err != nil {
 			c.hist.cold++ // it exists: whoever asks for it must not be told otherwise
 			bad(err)
 			return
 		}
 		c.sawCarried(key, mark, r.Carried)
-		c.adopt(j, r, c.unpack(r), mark, len(raw))
+		c.adopt(j, r, r.Assigned(c.seat), mark, len(raw))
 	case strings.HasPrefix(key, keyForm):
 		bad(c.putForm(key, raw, mark))
 	case strings.HasPrefix(key, keyAccess):
@@ -907,10 +925,10 @@
 }
 
 // adopt makes a committed record of a size the known state of a job.
-func (c *Core) adopt(j *job, r *record, place []asg, mark uint64, size int) {
+func (c *Core) adopt(j *job, r *ledger.Record, place []ledger.Asg, mark uint64, size int) {
 	was, held := j.final(), len(j.place)
-	if j.cancelMark != 0 && r.Stage == stQueued {
-		r.Stage, r.CancelMS = stCancelled, j.markedMS
+	if j.cancelMark != 0 && r.Stage == ledger.Queued {
+		r.Stage, r.CancelMS = ledger.Cancelled, j.markedMS
 	}
 	c.unplace(j)
 	if j.mark == 0 && r.Spec != nil {
@@ -924,10 +942,10 @@
 	tm, claim := c.claimOf(j)
 	j.ended = 0
 	for _, a := range place {
-		m := c.machines[a.machine]
-		m.asg[taskKey{j.idx, a.task}] = a
+		m := c.machines[a.Machine]
+		m.asg[taskKey{j.idx, a.Task}] = a
 		c.changedOn(m)
-		if p := m.pieces[attKey{j.idx, a.task, a.try}]; p.state == wire.TaskExited && p.cause == wire.CauseDone {
+		if p := m.pieces[attKey{j.idx, a.Task, a.Try}]; p.state == wire.TaskExited && p.cause == wire.CauseDone {
 			j.ended++
 		}
 		if tm != nil {
@@ -936,7 +954,7 @@
 		}
 	}
 	j.lost = false
-	j.pending = !j.final() && r.Spec != nil && j.waits == 0 && r.Done.count()+len(place) < r.Spec.Tasks
+	j.pending = !j.final() && r.Spec != nil && j.waits == 0 && r.Done.Count()+len(place) < r.Spec.Tasks
 	if !j.endedWhole() || j.accept != nil || len(j.cancels) > 0 {
 		c.touch(j)
 	}
@@ -951,9 +969,9 @@
 func (c *Core) unplace(j *job) {
 	tm, claim := c.claimOf(j)
 	for _, a := range j.place {
-		m := c.machines[a.machine]
-		if cur, ok := m.asg[taskKey{j.idx, a.task}]; ok && cur == a {
-			delete(m.asg, taskKey{j.idx, a.task})
+		m := c.machines[a.Machine]
+		if cur, ok := m.asg[taskKey{j.idx, a.Task}]; ok && cur == a {
+			delete(m.asg, taskKey{j.idx, a.Task})
 		}
 		c.changedOn(m)
 		if tm != nil {
@@ -1076,7 +1094,7 @@
 			continue
 		}
 		a, assigned := m.asg[taskKey{j.idx, int32(t)}]
-		assigned = assigned && a.try == p.Try && a.session == m.session
+		assigned = assigned && a.Try == p.Try && a.Session == m.session
 		if p.Stage == wire.TaskExited {
 			if assigned {
 				c.freed(j, a)
@@ -1085,7 +1103,7 @@
 				}
 			}
 			if p.Cause == wire.CauseDone && assigned && !j.final() && j.rec != nil && j.rec.Spec != nil &&
-				j.rec.Done.count()+j.ended < j.rec.Spec.Tasks {
+				j.rec.Done.Count()+j.ended < j.rec.Spec.Tasks {
 				c.touchLater(j) // others of its tasks run on: the write of this end may wait for theirs
 			} else {
 				c.touch(j)
@@ -1217,7 +1235,7 @@
 		out = append(out, asg2{k.job, a})
 	}
 	slices.SortFunc(out, func(x, y asg2) int {
-		return cmp.Or(cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task))
+		return cmp.Or(cmp.Compare(x.job, y.job), cmp.Compare(x.Task, y.Task))
 	})
 	return out
 }
@@ -1235,5 +1253,5 @@
 // asg2 is an assignment with its job.
 type asg2 struct {
 	job int32
-	asg
+	ledger.Asg
 }
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -66,59 +67,43 @@
 	}
 }
 
-func TestRangesStayASet(t *testing.T) {
-	var r ranges
-	for _, v := range []int{5, 3, 4, 9, 0, 8, 5} {
-		r = r.add(v)
-	}
-	if r.count() != 6 || len(r) != 6 || !r.valid(10) || r.valid(9) {
-		t.Fatalf("got %v", r)
-	}
-	for v := 0; v < 10; v++ {
-		want := v == 0 || v >= 3 && v <= 5 || v >= 8
-		if r.has(v) != want {
-			t.Errorf("has(%d) is %v", v, !want)
-		}
-	}
-}
-
 // A job of the largest size must fit a value at every stage of its work, also when its tasks
 // end in the order that leaves most pieces: every other one first.
 func TestLargestJobFitsAValue(t *testing.T) {
 	for _, perMachine := range []int{1, 8} {
 		c := New(testConfig(), 0, 1)
 		spec := &wire.Spec{ID: "wk-1", Class: "c", Team: "t", Tasks: wire.MaxTasks, Claim: [3]int64{100, 0, 100}}
-		rec := &record{Spec: spec, Done: ranges{0, 90_000}, Tries: 91_000}
-		var place []asg
+		rec := &ledger.Record{Spec: spec, Done: ledger.Ranges{0, 90_000}, Tries: 91_000}
+		var place []ledger.Asg
 		least := 1 << 20
 		for round := 0; round < 40; round++ {
 			p := &proposal{rec: rec, spec: spec, place: place}
-			for i, task := range waiting(rec, place, c.maxPlaced()-len(place)) {
+			for i, task := range rec.Waiting(place, c.maxPlaced()-len(place)) {
 				m := c.machine(wire.TaskName("m", 100000+1000*round+i/perMachine))
 				m.zone = "a-zone"
 				rec.Tries++
-				a := asg{task, m.idx, 1, rec.Tries}
+				a := ledger.Asg{task, m.idx, 1, rec.Tries}
 				p.place, p.started = append(p.place, a), append(p.started, a)
 			}
 			if _, err := c.fitValue(p); err != nil {
 				t.Fatal(err)
 			}
 			least = min(least, len(p.place))
-			var odd []asg
+			var odd []ledger.Asg
 			for i, a := range p.place {
 				if i%2 == 0 {
 					odd = append(odd, a)
 					continue
 				}
-				rec.Done = rec.Done.add(int(a.task))
-				if raw, err := c.encode(rec, append(slices.Clone(odd), p.place[i+1:]...), false); err != nil || len(raw) > c.cfg.ValueBytes {
+				rec.Done = rec.Done.Add(int(a.Task))
+				if raw, err := c.encodeRecord(rec, append(slices.Clone(odd), p.place[i+1:]...), false); err != nil || len(raw) > c.cfg.ValueBytes {
 					t.Fatalf("round %d: %d bytes, at most %d fit (%v)", round, len(raw), c.cfg.ValueBytes, err)
 				}
 			}
 			place = odd
 			if round%2 == 1 { // then all the rest
 				for _, a := range place {
-					rec.Done = rec.Done.add(int(a.task))
+					rec.Done = rec.Done.Add(int(a.Task))
 				}
 				place = nil
 			}
@@ -159,11 +144,11 @@
 func TestJobOfHundredsIsPlacedAtOnce(t *testing.T) {
 	c := New(testConfig(), 0, 1)
 	spec := &wire.Spec{ID: "wk-1", Class: "some-class", Team: "t", Tasks: 500, Claim: [3]int64{4000, 0, 8900}, Image: "an-image"}
-	p := &proposal{rec: &record{Spec: spec, Tries: 500}, spec: spec}
+	p := &proposal{rec: &ledger.Record{Spec: spec, Tries: 500}, spec: spec}
 	for i := 0; i < 500; i++ {
 		m := c.machine(wire.TaskName("m", 100000+i/5))
 		m.zone = []string{"a-zone", "b-zone"}[i/5%2]
-		p.place = append(p.place, asg{int32(i), m.idx, 1, uint64(i + 1)})
+		p.place = append(p.place, ledger.Asg{int32(i), m.idx, 1, uint64(i + 1)})
 	}
 	p.started = p.place
 	raw, err := c.fitValue(p)
@@ -174,14 +159,14 @@
 }
 
 // keepsAll checks that a record says all of its assignments.
-func keepsAll(t *testing.T, c *Core, raw json.RawMessage, place []asg) {
+func keepsAll(t *testing.T, c *Core, raw json.RawMessage, place []ledger.Asg) {
 	t.Helper()
-	r, err := decodeRecord(raw)
+	r, err := ledger.Decode(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
-	back := map[asg]bool{}
-	for _, a := range c.unpack(r) {
+	back := map[ledger.Asg]bool{}
+	for _, a := range r.Assigned(c.seat) {
 		back[a] = true
 	}
 	for _, a := range place {
@@ -581,11 +566,11 @@
 		c.Handle(time.Second, submitted("wk-1"))
 		drive(c, time.Second, 2*time.Second)
 		j := c.job("wk-1")
-		p := wire.Piece{Piece: "wk-1/0", Try: j.place[0].try, Stage: wire.TaskRunning}
+		p := wire.Piece{Piece: "wk-1/0", Try: j.place[0].Try, Stage: wire.TaskRunning}
 		if stopped {
 			p.Stage, p.Cause = wire.TaskExited, wire.CauseStopped
 		}
-		j.rec.Stage, j.rec.CancelMS = stCancelled, c.unixMS()
+		j.rec.Stage, j.rec.CancelMS = ledger.Cancelled, c.unixMS()
 		c.Handle(2*time.Second, Beat{Req: 10, Report: report(2, p)})
 		c.now = 2*time.Second + c.cfg.CancelIn/2
 		if got := len(c.sweepCancels()); got != map[bool]int{false: 1, true: 0}[stopped] {
@@ -618,9 +603,9 @@
 		seq++
 		say(now, seq, "a")
 		j := c.job("wk-8")
-		j.mark, j.rec, j.place = 1, &record{Spec: &wire.Spec{ID: "wk-8", Tasks: 8, Team: "t", Claim: [3]int64{4000, 0, 1000}}}, nil
+		j.mark, j.rec, j.place = 1, &ledger.Record{Spec: &wire.Spec{ID: "wk-8", Tasks: 8, Team: "t", Claim: [3]int64{4000, 0, 1000}}}, nil
 		for i := int32(0); i < 8; i++ { // more than the other zone has room for
-			j.place = append(j.place, asg{i, lost.idx, 1, 1})
+			j.place = append(j.place, ledger.Asg{i, lost.idx, 1, 1})
 			lost.asg[taskKey{j.idx, i}] = j.place[i]
 		}
 		c.touch(j)
@@ -744,7 +729,7 @@
 	in.Spec.Service = true
 	c.Handle(3*time.Second, in)
 	drive(c, 3*time.Second, 4*time.Second)
-	if p := c.job("wk-2").place; len(p) != 1 || c.machines[p[0].machine].name != "m-1" {
+	if p := c.job("wk-2").place; len(p) != 1 || c.machines[p[0].Machine].name != "m-1" {
 		t.Errorf("the second replica is on %v, an empty machine next to the first one's", p)
 	}
 }
--- a/core/form.go
+++ b/core/form.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dewlift/audit"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -156,7 +157,7 @@
 	j := c.job(key[len(keyCancel):])
 	c.sawCarried(key, mark, v.Carried)
 	j.cancelMark, j.markedMS, j.markCarried = mark, v.CancelMS, v.Carried
-	if j.mark != 0 && j.rec.Stage == stQueued {
+	if j.mark != 0 && j.rec.Stage == ledger.Queued {
 		rec := *j.rec
 		c.adopt(j, &rec, j.place, j.mark, j.size)
 	}
--- a/core/form_test.go
+++ b/core/form_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"dewlift/core/ledger"
 	"dewlift/internal/production"
-	"dewlift/internal/squeeze"
 	"dewlift/wire"
 )
 
@@ -64,16 +64,16 @@
 		want := assignments(t, was)
 		was.Place = nil
 		for _, packed := range []bool{false, true} {
-			raw, err := c.encode(j.rec, j.place, packed)
+			raw, err := c.encodeRecord(j.rec, j.place, packed)
 			if err != nil {
 				t.Fatal(err)
 			}
 			if packed { // back through the packed form
-				r, err := decodeRecord(raw)
+				r, err := ledger.Decode(raw)
 				if err != nil {
 					t.Fatalf("%s: %v", it.Key, err)
 				}
-				if raw, err = c.encode(r, c.unpack(r), false); err != nil {
+				if raw, err = c.encodeRecord(r, r.Assigned(c.seat), false); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -202,16 +202,16 @@
 	c.cfg.ValueBytes, c.cfg.TxnOps = 2048, 4
 	c.Handle(time.Second, declared("n0", "n1", "n2"))
 	spec := &wire.Spec{Class: "some-class", Team: "t", Tasks: 600, Claim: [3]int64{1, 0, 1}}
-	rec := &record{Spec: spec, Tries: 600}
-	var place []asg
+	rec := &ledger.Record{Spec: spec, Tries: 600}
+	var place []ledger.Asg
 	// The worst for packing: sessions and attempts without any order.
 	for i := range 600 {
 		m := c.machine(fmt.Sprintf("m-%d", 7919*(i+1)%1_000_000))
 		m.zone, m.up, m.typ = "a", true, "x"
 		m.session = uint64(1 + c.rng.IntN(1<<30))
-		place = append(place, asg{int32(i), m.idx, m.session, uint64(1 + c.rng.IntN(1<<30))})
+		place = append(place, ledger.Asg{int32(i), m.idx, m.session, uint64(1 + c.rng.IntN(1<<30))})
 	}
-	raw, err := c.encode(rec, place, false)
+	raw, err := c.encodeRecord(rec, place, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -272,7 +272,7 @@
 	if j.size <= c.cfg.ValueBytes {
 		t.Fatalf("the record has %d bytes", j.size)
 	}
-	if raw, err := c.encode(j.rec, j.place, true); err != nil || len(raw) <= c.cfg.ValueBytes {
+	if raw, err := c.encodeRecord(j.rec, j.place, true); err != nil || len(raw) <= c.cfg.ValueBytes {
 		t.Fatalf("packed it has %d bytes (%v)", len(raw), err)
 	}
 	c.Handle(time.Second, Cancel{Req: 5, ID: j.id, UnixMS: 77})
@@ -282,7 +282,7 @@
 	}
 	// Another controller reads it the same, in whatever order the keys come.
 	mark := func(key string, raw json.RawMessage) wire.Item { return wire.Item{Key: key, Value: raw, Mark: 90} }
-	raw, err := c.encode(&record{Spec: j.rec.Spec, Tries: 600}, j.place, false)
+	raw, err := c.encodeRecord(&ledger.Record{Spec: j.rec.Spec, Tries: 600}, j.place, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -296,10 +296,10 @@
 	}
 	// Once its tasks are gone, the record says so itself and the mark goes.
 	for _, a := range j.place {
-		c.markGone(c.machines[a.machine])
+		c.markGone(c.machines[a.Machine])
 	}
 	writes = follow(t, c, 3*time.Second, 8*time.Second)
-	if j.rec.Stage != stCancelled || len(j.place) != 0 || !slices.ContainsFunc(writes, func(w wire.Write) bool { return w.Delete == keyCancel+j.id }) {
+	if j.rec.Stage != ledger.Cancelled || len(j.place) != 0 || !slices.ContainsFunc(writes, func(w wire.Write) bool { return w.Delete == keyCancel+j.id }) {
 		t.Errorf("the record ended as %+v", j.rec)
 	}
 }
@@ -309,16 +309,16 @@
 func TestEndOfARecordTooLargeToWrite(t *testing.T) {
 	c, j := small(t)
 	for i, a := range j.place {
-		m := c.machines[a.machine]
+		m := c.machines[a.Machine]
 		c.Handle(2*time.Second, Beat{Req: 1, Report: &wire.Report{Machine: m.name, Addr: "x:1", Type: "x", Zone: "a", Session: m.session, Seq: 1, Token: 1,
-			Pieces: []wire.Piece{{Piece: wire.TaskName(j.id, int(a.task)), Try: a.try, Stage: wire.TaskExited, Cause: wire.CauseDone}}}})
+			Pieces: []wire.Piece{{Piece: wire.TaskName(j.id, int(a.Task)), Try: a.Try, Stage: wire.TaskExited, Cause: wire.CauseDone}}}})
 		if i%100 == 0 {
 			follow(t, c, c.now, c.now+200*time.Millisecond)
 		}
 	}
 	follow(t, c, c.now, c.now+5*time.Second)
-	if j.rec.Stage != stDone {
-		t.Errorf("%d tasks of 600 done", j.rec.Done.count())
+	if j.rec.Stage != ledger.Done {
+		t.Errorf("%d tasks of 600 done", j.rec.Done.Count())
 	}
 }
 
@@ -328,11 +328,11 @@
 	c.cfg.ValueBytes = 2048
 	c.formNow = formAwaits
 	spec := &wire.Spec{ID: "wk-1", Class: "some-class", Team: "t", Tasks: 500, Claim: [3]int64{4000, 0, 8900}, Image: "an-image"}
-	p := &proposal{rec: &record{Spec: spec, Tries: 500}, spec: spec}
+	p := &proposal{rec: &ledger.Record{Spec: spec, Tries: 500}, spec: spec}
 	for i := 0; i < 500; i++ {
 		m := c.machine(wire.TaskName("m", 100000+(7*i)%500))
 		m.zone = []string{"a-zone", "b-zone"}[i%2]
-		p.place = append(p.place, asg{int32(i), m.idx, 1, uint64(i + 1)})
+		p.place = append(p.place, ledger.Asg{int32(i), m.idx, 1, uint64(i + 1)})
 	}
 	p.started = p.place
 	raw, err := c.fitValue(p)
@@ -342,47 +342,6 @@
 	keepsAll(t, c, raw, p.place)
 }
 
-// A packed value that was damaged is an error, never a crash.
-func TestDamagedPackedRecord(t *testing.T) {
-	r := &record{Place: []placed{{Zone: "a", Session: 3, Prefix: "m-", Names: []string{"001", "017"}, Runs: []int{1, 2}, Tasks: []uint64{0, 5, 2, 7, 9, 1, 8, 1, 1}}},
-		Done: ranges{2, 3}, Spec: &wire.Spec{Tasks: 10, Awaits: []string{"wk-1", "wk-12"}}}
-	want := *r
-	wantSpec := *r.Spec
-	if err := r.packAll(); err != nil {
-		t.Fatal(err)
-	}
-	plain, err := squeeze.Inflate(r.Packed, mostUnpacked)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := r.unpackAll(); err != nil || !reflect.DeepEqual(r.Place, want.Place) || !reflect.DeepEqual(r.Done, want.Done) || !reflect.DeepEqual(*r.Spec, wantSpec) {
-		t.Fatalf("got %+v %+v (%v)", r, r.Spec, err)
-	}
-	bad := 0
-	for i := range plain {
-		for _, b := range []byte{0, 1, 0x7f, 0xff} {
-			x := slices.Clone(plain)
-			x[i] = b
-			for _, cut := range [][]byte{x, x[:i]} {
-				packed, err := squeeze.Deflate(cut)
-				if err != nil {
-					t.Fatal(err)
-				}
-				raw, err := json.Marshal(record{Packed: packed, Spec: &wire.Spec{Tasks: 10}})
-				if err != nil {
-					t.Fatal(err)
-				}
-				if _, err := decodeRecord(raw); err != nil {
-					bad++
-				}
-			}
-		}
-	}
-	if bad == 0 {
-		t.Error("no damage was noticed")
-	}
-}
-
 // A transaction that the service refuses as too large is not sent again as it was, whatever the
 // settings say.
 func TestRefusedSizeIsNotRepeated(t *testing.T) {
@@ -418,51 +377,3 @@
 		t.Errorf("the last one refused had %d bytes, %d smaller ones were written", largest, written)
 	}
 }
-
-// The machine types must fit a value too, or a controller that restarts while the cloud is down
-// serves nobody.
-func TestManyMachineTypesFitAValue(t *testing.T) {
-	var k wire.Catalog
-	for i := range 20 {
-		k.Types = append(k.Types, wire.MachineType{Name: fmt.Sprintf("some-type-%d", i), CPUs: float64(i), MemoryGB: 8, Price: 1.5, Zones: []string{"a-zone", "b-zone"}})
-	}
-	raw, err := encodeCatalog(&k, 2048, true)
-	if err != nil || len(raw) > 2048 {
-		t.Fatalf("%d bytes (%v)", len(raw), err)
-	}
-	got, err := decodeCatalog(raw)
-	if err != nil || !reflect.DeepEqual(got, k) {
-		t.Errorf("got %+v (%v)", got, err)
-	}
-}
-
-// A stored record, damaged in any way, is an error or a record that says the same when written again.
-func FuzzDecodeRecord(f *testing.F) {
-	for _, raw := range []string{`{"h":1,"st":"d","d":[0,4]}`, `{"h":1,"st":"c","by":"wk-2","w":[{"i":1,"m":"m","c":"idle","t":5}]}`,
-		`{"h":0,"s":{"tm":"t","n":4,"rc":[1000,0,1000],"aw":["wk-1"]},"a":[{"z":"a","s":1,"p":"m-","m":["1","2"],"n":[1,1],"r":[0,1,1,2,3,2]}],"d":[1,1],"t":4}`,
-		`{"h":1,"b":"AA=="}`, `{"h":1,"d":[0]}`} {
-		f.Add([]byte(raw))
-	}
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		r, err := decodeRecord(raw)
-		if err != nil || len(r.Place) > 20 {
-			return
-		}
-		c := New(testConfig(), 0, 1)
-		for _, p := range r.Place { // what no controller writes: it would only be slow
-			for i := 2; i < len(p.Tasks); i += 3 {
-				if p.Tasks[i] > 1000 {
-					return
-				}
-			}
-		}
-		place := c.unpack(r)
-		again, err := c.encode(r, place, false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r, err = decodeRecord(again); err != nil || len(c.unpack(r)) != len(place) {
-			t.Fatalf("%s became %s: %v", raw, again, err)
-		}
-	})
-}
--- a/core/history.go
+++ b/core/history.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dewlift/archive"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -67,7 +68,9 @@
 }
 
 // ended reports whether a job is over and nothing of it is left to be done: its record is final.
-func (j *job) endedWhole() bool { return j.rec != nil && j.rec.Spec == nil && j.rec.Stage != stQueued }
+func (j *job) endedWhole() bool {
+	return j.rec != nil && j.rec.Spec == nil && j.rec.Stage != ledger.Queued
+}
 
 // noteEnd counts a job that has ended among those in memory.
 func (c *Core) noteEnd(j *job) {
@@ -170,7 +173,7 @@
 }
 
 // remember puts the end of a job that somebody asked for into memory.
-func (c *Core) remember(id string, r *record, mark uint64, archived bool) {
+func (c *Core) remember(id string, r *ledger.Record, mark uint64, archived bool) {
 	j := c.job(id)
 	if j.mark != 0 {
 		return
@@ -185,26 +188,7 @@
 }
 
 func (c *Core) rememberEntry(e archive.Entry, mark uint64) {
-	r := &record{Shard: c.shardByName(e.ID), Stage: stDone, By: e.By, Team: e.Team, Class: e.Class}
-	if e.Cancelled {
-		r.Stage = stCancelled
-	}
-	if e.Done > 0 {
-		r.Done = ranges{0, e.Done - 1}
-	}
-	for _, w := range e.Why {
-		r.Why = append(r.Why, reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
-	}
-	c.remember(e.ID, r, mark, true)
-}
-
-// entryOf is what is archived of an ended job's record.
-func entryOf(id string, r *record) archive.Entry {
-	e := archive.Entry{ID: id, Cancelled: r.Stage == stCancelled, Done: r.Done.count(), By: r.By, Team: r.Team, Class: r.Class}
-	for _, w := range r.Why {
-		e.Why = append(e.Why, archive.Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
-	}
-	return e
+	c.remember(e.ID, ledger.FromArchive(e, c.shardByName(e.ID)), mark, true)
 }
 
 // moved takes the news that a job's record is gone: it is in the archive since.
@@ -435,12 +419,12 @@
 
 // readRecord takes the record of a job that was not in memory; false if it can't be read.
 func (c *Core) readRecord(id string, it wire.Item) bool {
-	r, err := decodeRecord(it.Value)
+	r, err := ledger.Decode(it.Value)
 	if err != nil {
 		c.note("error", "value not understood", "key", it.Key, "err", err.Error())
 		return false
 	}
-	if r.Spec == nil && r.Stage != stQueued {
+	if r.Spec == nil && r.Stage != ledger.Queued {
 		c.Stats.Recalled++
 		c.remember(id, r, it.Mark, false)
 	}
--- a/core/lead.go
+++ b/core/lead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -117,7 +118,7 @@
 	if same {
 		return
 	}
-	raw, err := encodeCatalog(k, c.cfg.ValueBytes, c.form() >= formAwaits)
+	raw, err := ledger.EncodeCatalog(k, c.cfg.ValueBytes, c.form() >= formAwaits)
 	if err != nil || len(raw) > c.cfg.ValueBytes {
 		return
 	}
@@ -185,7 +186,7 @@
 	}
 	var occ ccs.Vec
 	for k, a := range m.asg {
-		if p := m.pieces[attKey{k.job, k.task, a.try}]; p.state == wire.TaskExited {
+		if p := m.pieces[attKey{k.job, k.task, a.Try}]; p.state == wire.TaskExited {
 			continue // ended, only the write of it is not seen yet
 		}
 		if s := c.jobs[k.job].rec.Spec; s != nil {
@@ -197,7 +198,7 @@
 		if p.state == wire.TaskExited {
 			continue
 		}
-		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.try == k.try {
+		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.Try == k.try {
 			continue
 		}
 		if r := c.jobs[k.job].rec; r != nil && r.Spec != nil {
@@ -481,7 +482,7 @@
 	for k, a := range m.asg {
 		j := c.jobs[k.job]
 		s := j.rec.Spec
-		if s == nil || j.final() || m.pieces[attKey{k.job, k.task, a.try}].state == wire.TaskExited {
+		if s == nil || j.final() || m.pieces[attKey{k.job, k.task, a.Try}].state == wire.TaskExited {
 			continue
 		}
 		if s.Service {
--- a/core/pack.go
+++ b/core/ledger/pack.go
@@ -1,8 +1,7 @@
-package core
+package ledger
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -21,7 +20,7 @@
 const mostUnpacked = 4 << 20
 
 // packAll moves a record's lists into Packed.
-func (r *record) packAll() error {
+func (r *Record) packAll() error {
 	var p packer
 	p.num(len(r.Place))
 	for i := range r.Place {
@@ -41,7 +40,7 @@
 }
 
 // unpackAll is the reverse of packAll.
-func (r *record) unpackAll() error {
+func (r *Record) unpackAll() error {
 	raw, err := squeeze.Inflate(r.Packed, mostUnpacked)
 	if err != nil {
 		return err
@@ -101,7 +100,7 @@
 	return len(names[0])
 }
 
-func (p *packer) place(l *placed) {
+func (p *packer) place(l *Placed) {
 	p.text(l.Zone)
 	p.uint(l.Session)
 	p.text(l.Prefix)
@@ -136,7 +135,7 @@
 	}
 }
 
-func (p *packer) ranges(r ranges) {
+func (p *packer) ranges(r Ranges) {
 	p.num(len(r))
 	last := uint64(0)
 	for _, v := range r {
@@ -207,8 +206,8 @@
 	return out
 }
 
-func (u *unpacker) place() placed {
-	l := placed{Zone: u.text(), Session: u.uint(), Prefix: u.text()}
+func (u *unpacker) place() Placed {
+	l := Placed{Zone: u.text(), Session: u.uint(), Prefix: u.text()}
 	if width := u.num(); width == 0 {
 		l.Names = u.names()
 	} else {
@@ -242,8 +241,8 @@
 	return l
 }
 
-func (u *unpacker) ranges() ranges {
-	var out ranges
+func (u *unpacker) ranges() Ranges {
+	var out Ranges
 	last := uint64(0)
 	for n := u.num(); n > 0 && !u.bad; n-- {
 		last = u.diff(last)
@@ -255,41 +254,3 @@
 	}
 	return out
 }
-
-// packedCatalog is a list of machine types too long for a value as it is.
-type packedCatalog struct {
-	Packed []byte `json:"b"`
-	wire.Catalog
-}
-
-func decodeCatalog(raw json.RawMessage) (wire.Catalog, error) {
-	var v packedCatalog
-	if err := json.Unmarshal(raw, &v); err != nil {
-		return wire.Catalog{}, fmt.Errorf("machine types: %w", err)
-	}
-	if v.Packed == nil {
-		return v.Catalog, nil
-	}
-	plain, err := squeeze.Inflate(v.Packed, mostUnpacked)
-	if err == nil {
-		err = json.Unmarshal(plain, &v.Catalog)
-	}
-	if err != nil {
-		return wire.Catalog{}, fmt.Errorf("machine types: %w", err)
-	}
-	return v.Catalog, nil
-}
-
-// encodeCatalog renders machine types so that they fit a value of at most so many bytes, if
-// that can be.
-func encodeCatalog(k *wire.Catalog, most int, mayPack bool) (json.RawMessage, error) {
-	raw, err := json.Marshal(k)
-	if err != nil || len(raw) <= most || !mayPack {
-		return raw, err
-	}
-	packed, err := squeeze.Deflate(raw)
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(map[string][]byte{"b": packed})
-}
--- a/core/orders.go
+++ b/core/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -67,10 +68,10 @@
 	}
 	for t, at := range m.asg {
 		j := c.jobs[t.job]
-		if at.session != m.session || !c.mine(j) {
+		if at.Session != m.session || !c.mine(j) {
 			continue
 		}
-		k := attKey{t.job, t.task, at.try}
+		k := attKey{t.job, t.task, at.Try}
 		p, there := m.pieces[k]
 		open = open || !there || j.final()
 		switch {
@@ -91,7 +92,7 @@
 	}
 	for k, p := range m.pieces {
 		j := c.jobs[k.job]
-		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.try == k.try && a.session == m.session || !c.mine(j) {
+		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.Try == k.try && a.Session == m.session || !c.mine(j) {
 			continue
 		}
 		open = true
@@ -125,7 +126,7 @@
 		if _, ok := m.pieces[k]; ok || a.inFlight || c.now-a.sent < 10*time.Second {
 			continue
 		}
-		if cur, ok := m.asg[taskKey{k.job, k.task}]; !ok || cur.try != k.try {
+		if cur, ok := m.asg[taskKey{k.job, k.task}]; !ok || cur.Try != k.try {
 			if a.lost < m.token || a.lost == 0 {
 				delete(m.att, k)
 			}
@@ -273,7 +274,7 @@
 			if s == nil || !c.mine(j) || j.final() {
 				continue
 			}
-			k := attKey{t.job, t.task, t.try}
+			k := attKey{t.job, t.Task, t.Try}
 			a := c.attempt(m, k)
 			p, there := m.pieces[k]
 			if a.stop != "" || !there || p.state == wire.TaskExited || p.state == wire.TaskSaving {
@@ -297,18 +298,18 @@
 // off with a higher token, and a machine that does not confirm is returned.
 func (c *Core) sweepCancels() (suspects []string) {
 	for _, j := range c.open {
-		if j.rec == nil || j.rec.Stage != stCancelled || len(j.place) == 0 || !c.mine(j) {
+		if j.rec == nil || j.rec.Stage != ledger.Cancelled || len(j.place) == 0 || !c.mine(j) {
 			continue
 		}
 		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
 		for _, a := range j.place {
-			m := c.machines[a.machine]
+			m := c.machines[a.Machine]
 			// A reported end is proof, also while the write of it waits for the change budget:
 			// machines were returned for tasks that had long stopped.
 			if ended, _ := c.fate(j, a); ended {
 				continue
 			}
-			k := attKey{j.idx, a.task, a.try}
+			k := attKey{j.idx, a.Task, a.Try}
 			if t := m.att[k]; t != nil && t.lost != 0 && m.token <= t.lost && c.epoch <= t.lost {
 				c.bump()
 			}
--- a/core/own.go
+++ b/core/own.go
@@ -226,7 +226,7 @@
 		if j.rec != nil && j.rec.Shard == n {
 			c.touch(j)
 			for _, a := range j.place {
-				c.touchMachine(c.machines[a.machine])
+				c.touchMachine(c.machines[a.Machine])
 			}
 		}
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -285,7 +285,7 @@
 	}
 	for _, x := range p.Stop {
 		m, j := c.machine(x.Machine), c.job(x.Job)
-		if a, ok := m.asg[taskKey{j.idx, x.Task}]; ok && a.try == x.Try && c.mine(j) && !j.final() {
+		if a, ok := m.asg[taskKey{j.idx, x.Task}]; ok && a.Try == x.Try && c.mine(j) && !j.final() {
 			c.stopTask(m, attKey{j.idx, x.Task, x.Try}, j.rec.Spec, "made room for higher priority")
 		}
 	}
--- a/core/place.go
+++ b/core/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -22,11 +23,11 @@
 // proposal is a job's next record, to be adopted once it is committed.
 type proposal struct {
 	j       *job
-	rec     *record
+	rec     *ledger.Record
 	spec    *wire.Spec // also there when the record is final
-	place   []asg
-	started []asg
-	ended   []asg
+	place   []ledger.Asg
+	started []ledger.Asg
+	ended   []ledger.Asg
 	size    int // of the record, as it is written
 	accept  bool
 	cancel  bool
@@ -167,19 +168,19 @@
 // delta notes a start or finish for the leader; the own copy already shows starts. A start is
 // noted when its write is sent: the sooner the others know, the fewer choose the same room. If
 // the write fails, an end follows.
-func (c *Core) delta(start bool, a asg, claim ccs.Vec) {
-	m := c.machines[a.machine]
+func (c *Core) delta(start bool, a ledger.Asg, claim ccs.Vec) {
+	m := c.machines[a.Machine]
 	c.deltas = append(c.deltas, DeltaMsg{Start: start, Machine: m.name, Claim: claim})
 	if !start {
-		c.copy.Apply(ccs.Delta{Machine: a.machine, Claim: claim})
+		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: claim})
 		c.room = true
 	}
 }
 
 // freed gives back the room of a task that has ended, once. The write of its end may follow
 // later: the room is free for others as soon as the machine says so.
-func (c *Core) freed(j *job, a asg) {
-	t := c.attempt(c.machines[a.machine], attKey{j.idx, a.task, a.try})
+func (c *Core) freed(j *job, a ledger.Asg) {
+	t := c.attempt(c.machines[a.Machine], attKey{j.idx, a.Task, a.Try})
 	if !t.freed && c.mine(j) && j.rec != nil && j.rec.Spec != nil {
 		t.freed = true
 		c.delta(false, a, j.rec.Spec.Claim)
@@ -187,17 +188,17 @@
 }
 
 // fate tells whether a task's assignment has ended, with its cause.
-func (c *Core) fate(j *job, a asg) (ended bool, cause string) {
-	m := c.machines[a.machine]
+func (c *Core) fate(j *job, a ledger.Asg) (ended bool, cause string) {
+	m := c.machines[a.Machine]
 	switch {
 	case m.gone:
 		return true, "machine gone"
-	case m.session > a.session:
+	case m.session > a.Session:
 		return true, "machine lost its lease"
-	case m.session < a.session || !m.up:
+	case m.session < a.Session || !m.up:
 		return false, ""
 	}
-	k := attKey{j.idx, a.task, a.try}
+	k := attKey{j.idx, a.Task, a.Try}
 	p, ok := m.pieces[k]
 	if ok {
 		return p.state == wire.TaskExited, p.cause
@@ -500,12 +501,12 @@
 func (c *Core) fitValue(p *proposal) (json.RawMessage, error) {
 	for {
 		starts := len(p.started)
-		raw, err := c.encode(p.rec, p.place, false)
-		if err != nil || len(raw) <= c.cfg.ValueBytes*7/8 && len(raw)+c.growth(p.rec, p.place) <= c.cfg.ValueBytes {
+		raw, err := c.encodeRecord(p.rec, p.place, false)
+		if err != nil || len(raw) <= c.cfg.ValueBytes*7/8 && len(raw)+p.rec.Growth(p.place) <= c.cfg.ValueBytes {
 			return raw, err
 		}
 		if c.form() >= formAwaits {
-			packed, err := c.encode(p.rec, p.place, true)
+			packed, err := c.encodeRecord(p.rec, p.place, true)
 			if err != nil || len(packed) <= c.cfg.ValueBytes*3/4 || starts == 0 && len(packed) <= c.cfg.ValueBytes {
 				return packed, err
 			}
@@ -529,7 +530,7 @@
 func (c *Core) undo(p *proposal) {
 	c.carried(p.ids, 409) // never sent
 	for _, a := range p.started {
-		c.copy.Apply(ccs.Delta{Machine: a.machine, Claim: p.spec.Claim})
+		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: p.spec.Claim})
 	}
 }
 
@@ -573,12 +574,12 @@
 			return nil, 0
 		}
 		s := c.pickShard()
-		rec := &record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS, Who: j.accept.by.Who}
+		rec := &ledger.Record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS, Who: j.accept.by.Who}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true, conds: append(c.onRights(j.accept.by), unless),
 			acts: []act{{by: j.accept.by, verb: "submit", object: j.id, why: fmt.Sprintf("%s %s %s", spec.Team, spec.Class, wire.PriorityName(spec.Priority))}}}
 		left, _, cancelled := c.unmet(&spec)
 		if cancelled != nil {
-			p.rec = &record{Shard: s, Stage: stCancelled, CancelMS: c.unixMS(), By: cancelled.id}
+			p.rec = &ledger.Record{Shard: s, Stage: ledger.Cancelled, CancelMS: c.unixMS(), By: cancelled.id}
 			c.keepGroup(p.rec, &spec)
 			p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + cancelled.id})
 			return p, 0
@@ -601,12 +602,12 @@
 	rec := *j.rec
 	rec.Why = slices.Clone(j.rec.Why)
 	p = &proposal{j: j, rec: &rec, spec: j.rec.Spec}
-	if len(j.cancels) > 0 && rec.Stage == stQueued {
+	if len(j.cancels) > 0 && rec.Stage == ledger.Queued {
 		p.conds = c.stillMay(j)
 	}
-	if len(j.cancels) > 0 && rec.Stage == stQueued {
+	if len(j.cancels) > 0 && rec.Stage == ledger.Queued {
 		p.cancel = true
-		rec.Stage = stCancelled
+		rec.Stage = ledger.Cancelled
 		rec.CancelMS = j.cancelMS
 		for _, x := range j.cancels {
 			if a := (act{by: x.by, verb: "cancel", object: j.id}); !slices.Contains(p.acts, a) {
@@ -615,9 +616,9 @@
 		}
 		p.asked = len(p.acts)
 	}
-	ended := j.cause != nil && rec.Stage == stQueued // with a job that it needs
+	ended := j.cause != nil && rec.Stage == ledger.Queued // with a job that it needs
 	if ended {
-		rec.Stage, rec.By, rec.CancelMS = stCancelled, j.cause.id, c.unixMS()
+		rec.Stage, rec.By, rec.CancelMS = ledger.Cancelled, j.cause.id, c.unixMS()
 		p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + j.cause.id})
 	}
 	if !c.mine(j) {
@@ -629,7 +630,7 @@
 	}
 	changed := p.cancel || ended || j.size > c.cfg.ValueBytes && c.form() >= formAwaits
 	quick := p.cancel
-	var stopped []reason
+	var stopped []ledger.Reason
 	for _, a := range j.place {
 		ended, cause := c.fate(j, a)
 		if !ended {
@@ -638,35 +639,35 @@
 		}
 		changed = true
 		p.ended = append(p.ended, a)
-		if cause == wire.CauseDone && rec.Stage == stQueued {
-			rec.Done = rec.Done.add(int(a.task))
+		if cause == wire.CauseDone && rec.Stage == ledger.Queued {
+			rec.Done = rec.Done.Add(int(a.Task))
 			j.errs = 0
 			continue
 		}
 		quick = true
-		m := c.machines[a.machine]
-		if rec.Stage == stQueued {
-			if t := m.att[attKey{j.idx, a.task, a.try}]; t != nil && t.stop != "" && cause == wire.CauseStopped {
+		m := c.machines[a.Machine]
+		if rec.Stage == ledger.Queued {
+			if t := m.att[attKey{j.idx, a.Task, a.Try}]; t != nil && t.stop != "" && cause == wire.CauseStopped {
 				cause = t.stop
 			}
-			stopped = append(stopped, reason{int(a.task), m.name, cause, c.unixMS()})
-			rec.addReason(stopped[len(stopped)-1])
+			stopped = append(stopped, ledger.Reason{int(a.Task), m.name, cause, c.unixMS()})
+			rec.AddReason(stopped[len(stopped)-1])
 			c.blame(j, m, cause, a)
 		}
 	}
 	p.acts = append(p.acts, stopsOf(j.id, stopped)...)
 	switch {
-	case rec.Stage == stCancelled && len(p.place) == 0:
-		rec = record{Shard: rec.Shard, Stage: stCancelled, Done: rec.Done, Why: rec.Why, By: rec.By, Carried: rec.Carried}
+	case rec.Stage == ledger.Cancelled && len(p.place) == 0:
+		rec = ledger.Record{Shard: rec.Shard, Stage: ledger.Cancelled, Done: rec.Done, Why: rec.Why, By: rec.By, Carried: rec.Carried}
 		c.keepGroup(&rec, p.spec)
 		changed = true
-	case rec.Stage == stQueued && rec.Done.count() == rec.Spec.Tasks:
+	case rec.Stage == ledger.Queued && rec.Done.Count() == rec.Spec.Tasks:
 		c.note("debug", "job done", "job", j.id, "class", rec.Spec.Class, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "tries", rec.Tries,
 			"estimate_s", rec.Spec.EstimateMS/1000, "took_ms", c.unixMS()-rec.AtMS, "placed_ms", j.placedMS-rec.AtMS, "why", rec.Why)
-		rec = record{Shard: rec.Shard, Stage: stDone, Done: ranges{0, rec.Spec.Tasks - 1}, Carried: rec.Carried}
+		rec = ledger.Record{Shard: rec.Shard, Stage: ledger.Done, Done: ledger.Ranges{0, rec.Spec.Tasks - 1}, Carried: rec.Carried}
 		c.keepGroup(&rec, p.spec)
 		changed, quick = true, true
-	case rec.Stage == stQueued && j.waits == 0:
+	case rec.Stage == ledger.Queued && j.waits == 0:
 		before := len(p.place)
 		again = c.assign(p, b)
 		if len(p.place) > before {
@@ -692,7 +693,7 @@
 }
 
 // keepGroup keeps in an ended job's record what its readers' rights depend on.
-func (c *Core) keepGroup(r *record, s *wire.Spec) {
+func (c *Core) keepGroup(r *ledger.Record, s *wire.Spec) {
 	if c.guarded() {
 		r.Team, r.Class = s.Team, s.Class
 	}
@@ -723,8 +724,8 @@
 }
 
 // blame draws conclusions from a task's failure.
-func (c *Core) blame(j *job, m *machine, cause string, a asg) {
-	t := m.att[attKey{j.idx, a.task, a.try}]
+func (c *Core) blame(j *job, m *machine, cause string, a ledger.Asg) {
+	t := m.att[attKey{j.idx, a.Task, a.Try}]
 	if t == nil || t.blamed {
 		return
 	}
@@ -802,13 +803,13 @@
 	if limit <= 0 || c.full(s) {
 		return 0
 	}
-	tasks := waiting(p.rec, p.place, limit)
+	tasks := p.rec.Waiting(p.place, limit)
 	if len(tasks) == 0 {
 		return 0
 	}
 	zones := map[string]int{}
 	for _, a := range p.place {
-		zones[c.machines[a.machine].zone]++
+		zones[c.machines[a.Machine].zone]++
 	}
 	only := ""
 	if s.OneZone {
@@ -885,7 +886,7 @@
 				only = m.zone // the first task decides where no zone could be preferred
 			}
 			p.rec.Tries++
-			a := asg{tasks[0], mi, m.session, p.rec.Tries}
+			a := ledger.Asg{tasks[0], mi, m.session, p.rec.Tries}
 			tasks = tasks[1:]
 			p.place = append(p.place, a)
 			p.started = append(p.started, a)
@@ -928,9 +929,9 @@
 }
 
 // leftOf is how long an assigned task should still take, by its owner's estimate.
-func (c *Core) leftOf(j *job, m *machine, a asg) time.Duration {
+func (c *Core) leftOf(j *job, m *machine, a ledger.Asg) time.Duration {
 	left := time.Duration(j.rec.Spec.EstimateMS) * time.Millisecond
-	switch p := m.pieces[attKey{j.idx, a.task, a.try}]; p.state {
+	switch p := m.pieces[attKey{j.idx, a.Task, a.Try}]; p.state {
 	case wire.TaskExited:
 		return 0
 	case wire.TaskRunning:
@@ -977,27 +978,3 @@
 	}
 	return max(n, 0)
 }
-
-// waiting lists up to limit tasks that are neither done nor assigned, lowest first, so that
-// the done set stays a few ranges.
-func waiting(r *record, place []asg, limit int) []int32 {
-	have := make(map[int32]bool, len(place))
-	for _, a := range place {
-		have[a.task] = true
-	}
-	var out []int32
-	d := 0
-	for t := 0; t < r.Spec.Tasks && len(out) < limit; t++ {
-		for d+1 < len(r.Done) && t > r.Done[d+1] {
-			d += 2
-		}
-		if d+1 < len(r.Done) && t >= r.Done[d] {
-			t = r.Done[d+1]
-			continue
-		}
-		if !have[int32(t)] {
-			out = append(out, int32(t))
-		}
-	}
-	return out
-}
--- a/core/plan.go
+++ b/core/plan.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -28,7 +29,7 @@
 }
 
 // sawJob keeps the mean size of the jobs of a class, for spare room.
-func (c *Core) sawJob(r *record) {
+func (c *Core) sawJob(r *ledger.Record) {
 	if c.classes == nil {
 		c.classes = map[string]*classStat{}
 	}
@@ -318,11 +319,11 @@
 		}
 		s := j.rec.Spec
 		running[s.Class] += len(j.place)
-		n := s.Tasks - j.rec.Done.count() - len(j.place)
+		n := s.Tasks - j.rec.Done.Count() - len(j.place)
 		cut := 0
 		zones := map[string]int{}
 		for _, a := range j.place {
-			if m := c.machines[a.machine]; m.lead.cut {
+			if m := c.machines[a.Machine]; m.lead.cut {
 				cut++
 			} else {
 				zones[m.zone]++
@@ -389,7 +390,7 @@
 	var v ccs.Vec
 	for k, a := range m.asg {
 		j := c.jobs[k.job]
-		p := m.pieces[attKey{k.job, k.task, a.try}]
+		p := m.pieces[attKey{k.job, k.task, a.Try}]
 		if s := j.rec.Spec; s != nil && !s.Service && p.state == wire.TaskRunning {
 			left := time.Duration(s.EstimateMS)*time.Millisecond - (c.now - p.since)
 			if left < times(c.boot(m.typ), c.cfg.SoonBoots) && left > -time.Duration(s.EstimateMS)*time.Millisecond/4 {
@@ -581,7 +582,7 @@
 			continue
 		}
 		for _, v := range p.victims {
-			l.stops = append(l.stops, StopMsg{Machine: b.m.name, Job: c.jobs[v.job].id, Task: v.task, Try: v.try})
+			l.stops = append(l.stops, StopMsg{Machine: b.m.name, Job: c.jobs[v.job].id, Task: v.Task, Try: v.Try})
 			b.avail = b.avail.Add(c.jobs[v.job].rec.Spec.Claim, 1)
 			b.stopped = append(b.stopped, v)
 		}
@@ -604,10 +605,10 @@
 // victims chooses the tasks of a machine that must go for one task of a need.
 func (c *Core) victims(n need, b *bin) (vs []asg2, cost time.Duration, ok bool) {
 	var all []asg2
-	ran := func(v asg2) time.Duration { return c.now - b.m.pieces[attKey{v.job, v.task, v.try}].since }
+	ran := func(v asg2) time.Duration { return c.now - b.m.pieces[attKey{v.job, v.Task, v.Try}].since }
 	for _, v := range b.m.sortedTasks() {
 		s := c.jobs[v.job].rec.Spec
-		p, there := b.m.pieces[attKey{v.job, v.task, v.try}]
+		p, there := b.m.pieces[attKey{v.job, v.Task, v.Try}]
 		if s != nil && there && !s.Service && s.Priority > n.spec.Priority && !slices.Contains(b.stopped, v) &&
 			(p.state == wire.TaskRunning || p.state == wire.TaskFetching) {
 			all = append(all, v)
--- a/core/rights.go
+++ b/core/rights.go
@@ -10,7 +10,7 @@
 	protobuf "google.golang.org/protobuf/proto"
 
 	"dewlift/access"
-	"dewlift/internal/squeeze"
+	"dewlift/core/ledger"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -52,38 +52,6 @@
 	id   *pb.Identity
 }
 
-// packedMessage is a message as a value.
-type packedMessage struct {
-	Data []byte `json:"b"`
-}
-
-func packMessage(m protobuf.Message) (json.RawMessage, error) {
-	raw, err := protobuf.MarshalOptions{Deterministic: true}.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("rights: %w", err)
-	}
-	data, err := squeeze.Deflate(raw)
-	if err != nil {
-		return nil, fmt.Errorf("rights: %w", err)
-	}
-	return json.Marshal(packedMessage{data})
-}
-
-func unpackMessage(raw json.RawMessage, m protobuf.Message) error {
-	var v packedMessage
-	if err := json.Unmarshal(raw, &v); err != nil {
-		return fmt.Errorf("rights: %w", err)
-	}
-	plain, err := squeeze.Inflate(v.Data, mostUnpacked)
-	if err == nil {
-		err = protobuf.Unmarshal(plain, m)
-	}
-	if err != nil {
-		return fmt.Errorf("rights: %w", err)
-	}
-	return nil
-}
-
 // putAccess takes a key of the rights.
 func (c *Core) putAccess(key string, raw json.RawMessage, mark uint64) error {
 	r := &c.rights
@@ -93,14 +61,14 @@
 			return nil
 		}
 		r.rolesMark, r.roles = mark, &pb.Access{} // unreadable roles let nobody in
-		return unpackMessage(raw, r.roles)
+		return ledger.UnpackMessage(raw, r.roles)
 	}
 	name := strings.TrimPrefix(key, keyWho)
 	if old, ok := r.who[name]; ok && mark <= old.mark {
 		return nil
 	}
 	id := &pb.Identity{}
-	err := unpackMessage(raw, id)
+	err := ledger.UnpackMessage(raw, id)
 	if err != nil || id.Name != name {
 		id = &pb.Identity{Name: name}
 	}
@@ -180,19 +148,11 @@
 	return append([]wire.Cond{{Key: keyRoles, Mark: c.rights.rolesMark}, {Key: keyWho + cr.Who, Mark: c.rights.who[cr.Who].mark}}, c.unrecorded()...)
 }
 
-// group is the team and class that a job's readers need a grant for; "" if that is not known any more.
-func (r *record) group() (team, class string) {
-	if r.Spec != nil {
-		return r.Spec.Team, r.Spec.Class
-	}
-	return r.Team, r.Class
-}
-
 func (c *Core) mayRead(cr Cred, j *job) bool {
 	if !c.guarded() {
 		return true
 	}
-	team, class := j.rec.group()
+	team, class := j.rec.Group()
 	return c.may(cr, access.Act{Verb: pb.Verb_read, Team: team, Class: class}).Allowed
 }
 
@@ -202,7 +162,7 @@
 	if c.mayRead(cr, j) {
 		return true
 	}
-	team, class := j.rec.group()
+	team, class := j.rec.Group()
 	return s != nil && s.Team == team && s.Class == class && c.may(cr, submission(s)).Allowed
 }
 
@@ -250,7 +210,7 @@
 }
 
 func (c *Core) mayCancel(cr Cred, j *job) bool {
-	team, class := j.rec.group()
+	team, class := j.rec.Group()
 	return c.may(cr, access.Act{Verb: pb.Verb_cancel, Team: team, Class: class}).Allowed
 }
 
@@ -348,7 +308,7 @@
 	seed := c.cfg.Access.Source()
 	t := wire.Txn{If: []wire.Cond{{Key: keyLeader, Mark: c.leader.mark}, {Key: keyRoles}}}
 	put := func(key string, m protobuf.Message) bool {
-		raw, err := packMessage(m)
+		raw, err := ledger.PackMessage(m)
 		if err != nil || len(raw) > c.cfg.ValueBytes {
 			c.note("error", "rights can't be written", "key", key, "bytes", len(raw), "err", fmt.Sprint(err))
 			return false
@@ -421,7 +381,7 @@
 	if next != nil {
 		all.Identities = append(all.Identities, next)
 		w = wire.Write{Put: keyWho + in.Who}
-		if w.Value, err = packMessage(next); err == nil && len(w.Value) > c.cfg.ValueBytes {
+		if w.Value, err = ledger.PackMessage(next); err == nil && len(w.Value) > c.cfg.ValueBytes {
 			err = fmt.Errorf("identity takes %d bytes, %d are allowed", len(w.Value), c.cfg.ValueBytes)
 		}
 	}
@@ -459,7 +419,7 @@
 		return nil
 	}
 	for _, j := range c.open {
-		if j.rec != nil && j.rec.Spec != nil && j.rec.Who == in.Who && !j.final() && len(j.place) == 0 && j.rec.Done.count() == 0 && c.mayCancel(in.By, j) {
+		if j.rec != nil && j.rec.Spec != nil && j.rec.Who == in.Who && !j.final() && len(j.place) == 0 && j.rec.Done.Count() == 0 && c.mayCancel(in.By, j) {
 			ids = append(ids, j.id)
 			c.queueCancel(j, Cancel{ID: j.id, By: in.By, UnixMS: c.unixMS()})
 		}
--- a/core/rights_test.go
+++ b/core/rights_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dewlift/access"
+	"dewlift/core/ledger"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -45,10 +46,10 @@
 		log = append(log, wire.Event{Put: key, Value: raw, Mark: 10})
 	}
 	for _, id := range p.Source().Identities {
-		raw, err := packMessage(id)
+		raw, err := ledger.PackMessage(id)
 		put(keyWho+id.Name, raw, err)
 	}
-	raw, err := packMessage(&pb.Access{Roles: p.Source().Roles})
+	raw, err := ledger.PackMessage(&pb.Access{Roles: p.Source().Roles})
 	put(keyRoles, raw, err)
 	if out := outputs[Rights](stream(c, 1100*time.Millisecond, 10, log...)); len(out) != 1 || !out[0].Policy.Has("potter") {
 		t.Fatalf("the edges are told %+v", out)
@@ -165,7 +166,7 @@
 	if x == nil || !slices.Contains(x.Txn.If, wire.Cond{Key: keyWho + "potter", Mark: 10}) || !slices.Contains(x.Txn.If, wire.Cond{Key: keyRoles, Mark: 10}) {
 		t.Fatalf("got %+v", x)
 	}
-	raw, err := packMessage(&pb.Identity{Name: "potter", Keys: []*pb.PublicKey{c.rights.who["potter"].id.Keys[0]}})
+	raw, err := ledger.PackMessage(&pb.Identity{Name: "potter", Keys: []*pb.PublicKey{c.rights.who["potter"].id.Keys[0]}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dewlift/archive"
+	"dewlift/core/ledger"
 	"dewlift/wire"
 )
 
@@ -93,8 +94,8 @@
 		}
 		for _, it := range in.Items {
 			s.after = it.Key
-			r, err := decodeRecord(it.Value)
-			if err != nil || r.Spec != nil || r.Stage == stQueued || it.Mark > s.below || !c.allInBlocks(r.Carried) {
+			r, err := ledger.Decode(it.Value)
+			if err != nil || r.Spec != nil || r.Stage == ledger.Queued || it.Mark > s.below || !c.allInBlocks(r.Carried) {
 				continue
 			}
 			id := strings.TrimPrefix(it.Key, keyJob)
@@ -102,7 +103,7 @@
 			if i, ok := c.jobIdx[id]; ok && (s.refs[i] || len(c.jobs[i].next) > 0) {
 				continue
 			}
-			s.todo = append(s.todo, ended{entryOf(id, r), it.Key, it.Mark})
+			s.todo = append(s.todo, ended{r.ToArchive(id), it.Key, it.Mark})
 		}
 		s.last = !in.More || len(in.Items) == 0
 	})
--- a/core/users.go
+++ b/core/users.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dewlift/access"
+	"dewlift/core/ledger"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -31,9 +32,9 @@
 	for _, w := range j.rec.Why {
 		s.Reasons = append(s.Reasons, wire.Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
 	}
-	s.Done = j.rec.Done.count()
+	s.Done = j.rec.Done.Count()
 	switch {
-	case j.rec.Stage == stDone:
+	case j.rec.Stage == ledger.Done:
 		s.Stage = wire.StageDone
 		return s
 	case j.final():
@@ -44,15 +45,15 @@
 		return s
 	}
 	for _, o := range j.needs {
-		if o.rec == nil || o.rec.Stage != stDone {
+		if o.rec == nil || o.rec.Stage != ledger.Done {
 			if s.AwaitsCount++; s.AwaitsCount <= awaitsShown {
 				s.Awaits = append(s.Awaits, o.id)
 			}
 		}
 	}
 	for _, a := range j.place {
-		m := c.machines[a.machine]
-		if p, ok := m.pieces[attKey{j.idx, a.task, a.try}]; ok && m.session == a.session &&
+		m := c.machines[a.Machine]
+		if p, ok := m.pieces[attKey{j.idx, a.Task, a.Try}]; ok && m.session == a.Session &&
 			(p.state == wire.TaskRunning || p.state == wire.TaskSaving) {
 			s.Running++
 		}
@@ -67,7 +68,7 @@
 
 // final reports whether a job is done or cancelled. One that needs a cancelled job is cancelled
 // with it, from the write of that cancellation on; its own record follows.
-func (j *job) final() bool { return j.rec != nil && (j.rec.Stage != stQueued || j.cause != nil) }
+func (j *job) final() bool { return j.rec != nil && (j.rec.Stage != ledger.Queued || j.cause != nil) }
 
 func (c *Core) poll(in Poll) {
 	switch {
@@ -248,7 +249,7 @@
 		s.Awaits = left
 	}
 	// What a record holds beside the description must find room in its value.
-	raw, err := c.encode(&record{Spec: &s}, nil, c.form() >= formAwaits)
+	raw, err := c.encodeRecord(&ledger.Record{Spec: &s}, nil, c.form() >= formAwaits)
 	if err != nil || len(raw) > c.cfg.ValueBytes*3/4 {
 		return 400, "the description and the unfinished jobs that it awaits are too long to be stored"
 	}
