Core: what a controller may use of the state service is a package of its own, core/budget

Rates, what has gathered, pauses and the gaps between requests stood in nine fields of the core. Literals of the ledger's types name their fields, as vet asks.

--- a/core/audit.go
+++ b/core/audit.go
@@ -369,7 +369,7 @@
 		a.waiters = a.waiters[1:]
 		f(false)
 	}
-	if a.busy || !c.leaseOK() || c.now < c.holdUntil || c.now < a.nextAt || c.writes < 2 {
+	if a.busy || !c.leaseOK() || c.budget.Paused(c.now) || c.now < a.nextAt || c.budget.Writes < 2 {
 		return
 	}
 	if !a.ready {
@@ -636,7 +636,7 @@
 		c.reply(in.Req, 200, out)
 		return
 	}
-	if c.reads < 1 {
+	if c.budget.Reads < 1 {
 		c.refuse(in.Req, "too busy")
 		return
 	}
--- a/core/awaits_test.go
+++ b/core/awaits_test.go
@@ -251,7 +251,7 @@
 		known(c, 101, wire.Spec{EstimateMS: 5_000, DeadlineMS: tc.due}, "wk-2", ledger.Queued, "wk-1")
 		s := known(c, 102, wire.Spec{Service: tc.service}, "wk-3", ledger.Queued)
 		for _, j := range []*job{a, s} {
-			m.asg[taskKey{j.idx, 0}] = ledger.Asg{0, m.idx, 1, 1}
+			m.asg[taskKey{j.idx, 0}] = ledger.Asg{Task: 0, Machine: m.idx, Session: 1, Try: 1}
 		}
 		if got := c.hurried(m, 10*time.Second); got != tc.want {
 			t.Errorf("due %d, replica %v: given up %v", tc.due, tc.service, got)
--- a/core/core.go
+++ b/core/core.go
@@ -12,6 +12,7 @@
 
 	"dewlift/audit"
 	"dewlift/ccs"
+	"dewlift/core/budget"
 	"dewlift/core/ledger"
 	"dewlift/wire"
 )
@@ -271,17 +272,9 @@
 	bumping    bool
 	bumpAt     time.Duration
 
-	txns       map[uint64]*txn
-	writes     float64 // change budget
-	reads      float64 // request budget
-	writeRate  float64 // what this controller may use of the service's limits, a second
-	readRate   float64
-	spent      float64       // changes since the others were told last
-	used       float64       // changes a second of late
-	settle     time.Duration // how long ends may wait to share a write
-	budgetAt   time.Duration
-	holdUntil  time.Duration // after a 429
-	holdUrgent time.Duration // the same for what users wait for
+	txns   map[uint64]*txn
+	budget budget.Budget
+	settle time.Duration // how long ends may wait to share a write
 
 	copy      ccs.Copy
 	copyRev   uint64 // revision and leader of the last push taken
@@ -357,14 +350,14 @@
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
-		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{}, budgetAt: now,
-		settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newAuditing()}
+		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
+		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newAuditing()}
 	c.copy.Expire = cfg.CopyExpire
 	for _, p := range cfg.Peers {
 		c.peers[p] = &peer{}
 	}
 	c.shareBudget()
-	c.writes, c.reads = c.writeRate, c.readRate
+	c.budget.Fill()
 	for i, t := range cfg.Teams {
 		c.teamIdx[t.Name] = i
 		c.teams = append(c.teams, &team{Team: t})
@@ -546,10 +539,7 @@
 // Advance lets time pass, does what is due and returns all outputs since the last call.
 func (c *Core) Advance(now time.Duration) []Output {
 	c.now = max(c.now, now)
-	dt := (c.now - c.budgetAt).Seconds()
-	c.budgetAt = c.now
-	c.writes = min(c.writes+dt*c.writeRate, max(c.writeRate, float64(c.cfg.TxnOps)))
-	c.reads = min(c.reads+dt*c.readRate, max(c.readRate, 4))
+	c.budget.Advance(c.now, c.cfg.TxnOps)
 	c.follow()
 	c.keepLease()
 	c.compact()
@@ -621,15 +611,15 @@
 	// A barrier brings the changes too: while users ask all the time, no watch is needed.
 	if !c.watching && c.now >= c.watchAt && !c.barrier && len(c.waiting) == 0 {
 		c.watching = true
-		c.watchAt = c.now + c.gap(c.cfg.WatchGap, 0.25)
-		c.reads--
+		c.watchAt = c.now + c.budget.Gap(c.cfg.WatchGap, 0.25)
+		c.budget.Request()
 		c.emit(Changes{From: c.seen, Hold: true})
 	}
 	if !c.barrier && len(c.waiting) > 0 && c.now >= c.barrierAt {
 		c.barrier = true
-		c.barrierAt = c.now + c.gap(c.cfg.ReadGap, 0.35)
+		c.barrierAt = c.now + c.budget.Gap(c.cfg.ReadGap, 0.35)
 		c.inBarrier, c.waiting = c.waiting, nil
-		c.reads--
+		c.budget.Request()
 		c.emit(Changes{From: c.seen})
 	}
 }
@@ -650,13 +640,7 @@
 			left -= all / live
 		}
 	}
-	c.writeRate = min(max(all/live, left), all*c.cfg.WriteShare)
-	c.readRate = c.cfg.StateRPS / live
-}
-
-// gap is the time between two requests of a kind that may take a share of the request budget.
-func (c *Core) gap(least time.Duration, share float64) time.Duration {
-	return max(least, time.Duration(float64(time.Second)/(share*c.readRate)))
+	c.budget.Share(all, c.cfg.StateRPS, live, left, c.cfg.WriteShare)
 }
 
 // afterBarrier calls f once all changes committed until now are known here, or with false.
@@ -672,7 +656,7 @@
 // few that need one. The barrier does not wait for its turn, as long as requests are left.
 func (c *Core) soonAfterBarrier(f func(ok bool)) {
 	c.afterBarrier(f)
-	if c.reads > 1 {
+	if c.budget.Reads > 1 {
 		c.barrierAt = min(c.barrierAt, c.now)
 	}
 }
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -82,7 +82,7 @@
 				m := c.machine(wire.TaskName("m", 100000+1000*round+i/perMachine))
 				m.zone = "a-zone"
 				rec.Tries++
-				a := ledger.Asg{task, m.idx, 1, rec.Tries}
+				a := ledger.Asg{Task: task, Machine: m.idx, Session: 1, Try: rec.Tries}
 				p.place, p.started = append(p.place, a), append(p.started, a)
 			}
 			if _, err := c.fitValue(p); err != nil {
@@ -148,7 +148,7 @@
 	for i := 0; i < 500; i++ {
 		m := c.machine(wire.TaskName("m", 100000+i/5))
 		m.zone = []string{"a-zone", "b-zone"}[i/5%2]
-		p.place = append(p.place, ledger.Asg{int32(i), m.idx, 1, uint64(i + 1)})
+		p.place = append(p.place, ledger.Asg{Task: int32(i), Machine: m.idx, Session: 1, Try: uint64(i + 1)})
 	}
 	p.started = p.place
 	raw, err := c.fitValue(p)
@@ -605,7 +605,7 @@
 		j := c.job("wk-8")
 		j.mark, j.rec, j.place = 1, &ledger.Record{Spec: &wire.Spec{ID: "wk-8", Tasks: 8, Team: "t", Claim: [3]int64{4000, 0, 1000}}}, nil
 		for i := int32(0); i < 8; i++ { // more than the other zone has room for
-			j.place = append(j.place, ledger.Asg{i, lost.idx, 1, 1})
+			j.place = append(j.place, ledger.Asg{Task: i, Machine: lost.idx, Session: 1, Try: 1})
 			lost.asg[taskKey{j.idx, i}] = j.place[i]
 		}
 		c.touch(j)
@@ -767,7 +767,7 @@
 	}
 	c.markGone(c.machine("m-1"))
 	var order []string
-	c.writes = 100
+	c.budget.Writes = 100
 	c.cfg.TxnOps = 12
 	for _, o := range outputs[Commit](c.Advance(3 * time.Second)) {
 		for _, w := range o.Txn.Then {
--- a/core/form.go
+++ b/core/form.go
@@ -60,7 +60,7 @@
 
 // declare writes this controller's declaration.
 func (c *Core) declare() {
-	if c.forms[c.cfg.Name] >= c.cfg.Form || c.declaring || c.now < c.declareAt || c.now < c.holdUntil || !c.leaseOK() {
+	if c.forms[c.cfg.Name] >= c.cfg.Form || c.declaring || c.now < c.declareAt || c.budget.Paused(c.now) || !c.leaseOK() {
 		return
 	}
 	c.declaring = true
--- a/core/form_test.go
+++ b/core/form_test.go
@@ -209,7 +209,7 @@
 		m := c.machine(fmt.Sprintf("m-%d", 7919*(i+1)%1_000_000))
 		m.zone, m.up, m.typ = "a", true, "x"
 		m.session = uint64(1 + c.rng.IntN(1<<30))
-		place = append(place, ledger.Asg{int32(i), m.idx, m.session, uint64(1 + c.rng.IntN(1<<30))})
+		place = append(place, ledger.Asg{Task: int32(i), Machine: m.idx, Session: m.session, Try: uint64(1 + c.rng.IntN(1<<30))})
 	}
 	raw, err := c.encodeRecord(rec, place, false)
 	if err != nil {
@@ -332,7 +332,7 @@
 	for i := 0; i < 500; i++ {
 		m := c.machine(wire.TaskName("m", 100000+(7*i)%500))
 		m.zone = []string{"a-zone", "b-zone"}[i%2]
-		p.place = append(p.place, ledger.Asg{int32(i), m.idx, 1, uint64(i + 1)})
+		p.place = append(p.place, ledger.Asg{Task: int32(i), Machine: m.idx, Session: 1, Try: uint64(i + 1)})
 	}
 	p.started = p.place
 	raw, err := c.fitValue(p)
--- a/core/history.go
+++ b/core/history.go
@@ -325,7 +325,7 @@
 }
 
 // findRate is how many reads a second finds may take.
-func (c *Core) findRate() float64 { return c.cfg.HistoryShare * c.readRate }
+func (c *Core) findRate() float64 { return c.cfg.HistoryShare * c.budget.ReadRate }
 
 // lookup carries finds on, within their share of the requests.
 func (c *Core) lookup() {
@@ -340,7 +340,7 @@
 		case x.busy || x.over:
 		case c.now-x.since > findWait:
 			c.found(x, false)
-		case h.tokens >= 1 && h.reading < findsOut && c.now >= c.holdUntil:
+		case h.tokens >= 1 && h.reading < findsOut && !c.budget.Paused(c.now):
 			c.readFor(x)
 		}
 	}
@@ -441,7 +441,7 @@
 
 func (c *Core) ask1(s Scan, f func(Scanned)) {
 	s.ID = c.id()
-	c.reads--
+	c.budget.Request()
 	c.hist.reads[s.ID] = f
 	c.emit(s)
 }
@@ -450,7 +450,7 @@
 	f := c.hist.reads[in.ID]
 	delete(c.hist.reads, in.ID)
 	if in.Status == 429 {
-		c.holdUntil = max(c.holdUntil, c.now+100*time.Millisecond+c.jitter(200*time.Millisecond))
+		c.budget.PauseOthers(c.now + 100*time.Millisecond + c.jitter(200*time.Millisecond))
 	} else {
 		c.stateAnswered(in.Status)
 	}
--- a/core/own.go
+++ b/core/own.go
@@ -88,7 +88,7 @@
 
 // own claims absent shards and the leadership, and gives up surplus shards.
 func (c *Core) own() {
-	if c.mute() || !c.leaseOK() || c.claiming || c.now < c.claimAt || c.now < c.holdUntil {
+	if c.mute() || !c.leaseOK() || c.claiming || c.now < c.claimAt || c.budget.Paused(c.now) {
 		return
 	}
 	node, have := c.nodes[c.cfg.Name]
@@ -239,7 +239,7 @@
 // bump raises the token, so that orders on their way can't be executed any more once the
 // machine has seen it.
 func (c *Core) bump() {
-	if c.bumping || c.claiming || c.now < c.bumpAt || !c.leaseOK() || c.now < c.holdUntil {
+	if c.bumping || c.claiming || c.now < c.bumpAt || !c.leaseOK() || c.budget.Paused(c.now) {
 		return
 	}
 	c.bumping = true
--- a/core/peers.go
+++ b/core/peers.go
@@ -62,9 +62,7 @@
 func (c *Core) tellHealth() {
 	if c.now >= c.healthAt {
 		c.healthAt = c.now + c.cfg.HealthEvery
-		c.used += (c.spent/c.cfg.HealthEvery.Seconds() - c.used) / 2
-		c.spent = 0
-		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.used, Hears: c.inReach(""), Loading: c.pagesRead()}}})
+		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.budget.Used(c.cfg.HealthEvery), Hears: c.inReach(""), Loading: c.pagesRead()}}})
 		c.shareBudget()
 	}
 }
--- a/core/place.go
+++ b/core/place.go
@@ -44,9 +44,7 @@
 	id := c.id()
 	x.txn = t
 	c.txns[id] = x
-	c.writes -= float64(len(t.Then))
-	c.spent += float64(len(t.Then))
-	c.reads--
+	c.budget.Txn(len(t.Then))
 	c.Stats.Commits++
 	c.emit(Commit{ID: id, Txn: t})
 }
@@ -59,12 +57,11 @@
 	delete(c.txns, in.ID)
 	c.stateAnswered(in.Status)
 	if in.Status == 429 {
-		c.holdUntil = c.now + 80*time.Millisecond + c.jitter(150*time.Millisecond)
-		c.holdUrgent = c.now + 20*time.Millisecond + c.jitter(40*time.Millisecond)
+		c.budget.Pause(c.now+80*time.Millisecond+c.jitter(150*time.Millisecond), c.now+20*time.Millisecond+c.jitter(40*time.Millisecond))
 	}
 	if in.Status == 503 || in.Status == 0 {
-		c.holdUntil = c.now + 100*time.Millisecond + c.jitter(100*time.Millisecond)
-		c.holdUrgent = c.holdUntil
+		until := c.now + 100*time.Millisecond + c.jitter(100*time.Millisecond)
+		c.budget.Pause(until, until)
 	}
 	if in.Status != 200 {
 		c.note("debug", "transaction not committed", "status", in.Status, "failed", in.Reply.Failed, "error", in.Reply.Error)
@@ -248,7 +245,7 @@
 		c.noRoom = c.noRoom[:0]
 		// Tasks of a job that find room one by one would take a write each, and its team's key
 		// another: where changes are few, they gather.
-		c.placeAt = c.now + max(200*time.Millisecond, time.Duration(2/(0.5*c.writeRate)*float64(time.Second)))
+		c.placeAt = c.now + max(200*time.Millisecond, time.Duration(2/(0.5*c.budget.WriteRate)*float64(time.Second)))
 		for _, j := range c.open {
 			if j.pending && c.mine(j) {
 				c.touch(j)
@@ -276,11 +273,11 @@
 		todo = append(todo, j)
 	}
 	// What users wait for goes out sooner: a full budget or slow answers hold it back less.
-	hold, most, reads := c.holdUntil, 3, 1.0
+	paused, most, reads := c.budget.Paused(c.now), 3, 1.0
 	if slices.ContainsFunc(todo, func(j *job) bool { return c.urgency(j) <= urgentAccept }) {
-		hold, most, reads = c.holdUrgent, 6, -c.readRate/2
+		paused, most, reads = c.budget.PausedAll(c.now), 6, -c.budget.ReadRate/2
 	}
-	if c.now < hold || inflight >= most || !c.leaseOK() || len(todo) == 0 || c.reads < reads {
+	if paused || inflight >= most || !c.leaseOK() || len(todo) == 0 || c.budget.Reads < reads {
 		return
 	}
 	// A team's key is one more change for each transaction. Where changes are few and many jobs
@@ -291,7 +288,7 @@
 			many++
 		}
 	}
-	if most == 3 && many >= gatherMany && c.writes < 0.7*max(c.writeRate, float64(c.cfg.TxnOps)) {
+	if most == 3 && many >= gatherMany && c.budget.Writes < 0.7*c.budget.Burst(c.cfg.TxnOps) {
 		return
 	}
 	// Ends of tasks share writes: the more jobs run, the longer they wait for others.
@@ -301,7 +298,7 @@
 			running++
 		}
 	}
-	c.settle = min(c.cfg.SettleMost, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.writeRate)*float64(time.Second))))
+	c.settle = min(c.cfg.SettleMost, max(c.cfg.Settle, time.Duration(float64(running)/(0.5*c.budget.WriteRate)*float64(time.Second))))
 	for _, j := range todo {
 		j.missing = c.lostReplicas(j)
 	}
@@ -410,7 +407,7 @@
 		b.waitedFor = true
 		cost -= c.writeRPS() / 2
 	}
-	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.writes < cost {
+	if len(b.t.Then)+2 > c.cfg.TxnOps || b.bytes > 40<<10 || c.budget.Writes < cost {
 		return false
 	}
 	p, again := c.propose(j, b)
@@ -427,7 +424,7 @@
 		return false
 	}
 	// What nobody waits for leaves a part of the budget to what somebody does.
-	if p.routine && c.writes < cost+c.writeRate*0.2 {
+	if p.routine && c.budget.Writes < cost+c.budget.WriteRate*0.2 {
 		j.lookAt = c.now + 100*time.Millisecond
 		return true
 	}
@@ -650,7 +647,7 @@
 			if t := m.att[attKey{j.idx, a.Task, a.Try}]; t != nil && t.stop != "" && cause == wire.CauseStopped {
 				cause = t.stop
 			}
-			stopped = append(stopped, ledger.Reason{int(a.Task), m.name, cause, c.unixMS()})
+			stopped = append(stopped, ledger.Reason{Task: int(a.Task), Machine: m.name, Cause: cause, AtMS: c.unixMS()})
 			rec.AddReason(stopped[len(stopped)-1])
 			c.blame(j, m, cause, a)
 		}
@@ -886,7 +883,7 @@
 				only = m.zone // the first task decides where no zone could be preferred
 			}
 			p.rec.Tries++
-			a := ledger.Asg{tasks[0], mi, m.session, p.rec.Tries}
+			a := ledger.Asg{Task: tasks[0], Machine: mi, Session: m.session, Try: p.rec.Tries}
 			tasks = tasks[1:]
 			p.place = append(p.place, a)
 			p.started = append(p.started, a)
--- a/core/rights.go
+++ b/core/rights.go
@@ -302,7 +302,7 @@
 // they come into force. A seeding that was interrupted goes on.
 func (c *Core) seedAccess() {
 	r := &c.rights
-	if c.cfg.Access == nil || c.guarded() || c.mute() || c.cfg.AuditKey != nil && !c.auditing() || !c.leads() || !c.leaseOK() || c.form() < formAccess || r.seeding || c.now < r.seedAt || c.now < c.holdUntil || c.writes < 1 {
+	if c.cfg.Access == nil || c.guarded() || c.mute() || c.cfg.AuditKey != nil && !c.auditing() || !c.leads() || !c.leaseOK() || c.form() < formAccess || r.seeding || c.now < r.seedAt || c.budget.Paused(c.now) || c.budget.Writes < 1 {
 		return
 	}
 	seed := c.cfg.Access.Source()
@@ -320,7 +320,7 @@
 		return true
 	}
 	for _, id := range seed.Identities {
-		if _, there := r.who[id.Name]; !there && len(t.Then) < max(1, min(c.cfg.TxnOps, int(c.writes))-c.besides()) && !put(keyWho+id.Name, id) {
+		if _, there := r.who[id.Name]; !there && len(t.Then) < max(1, min(c.cfg.TxnOps, int(c.budget.Writes))-c.besides()) && !put(keyWho+id.Name, id) {
 			r.seedAt = c.now + 10*time.Second
 			return
 		}
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -44,7 +44,7 @@
 // look into the archive, and nobody waits for the changes it takes.
 func (c *Core) mayMove() bool {
 	return c.cfg.Archive && c.form() >= formHistory && c.leads() && c.leaseOK() && c.now >= c.formAt+c.cfg.HistoryWait &&
-		c.now >= c.holdUntil && c.accepting == 0 && len(c.txns) == 0 && c.writes >= 0.75*max(c.writeRate, float64(c.cfg.TxnOps)) && c.reads > 1
+		!c.budget.Paused(c.now) && c.accepting == 0 && len(c.txns) == 0 && c.budget.Writes >= 0.75*c.budget.Burst(c.cfg.TxnOps) && c.budget.Reads > 1
 }
 
 // sweepStep starts a sweep when one is due, and takes the next step of it.
