Core: the audit record is a package of its own, core/recorder, tested alone

It holds its own state; the core tells it of the moment and sends what it gives. A drawn test plays lost, refused and late transactions and ended processes against it: every entry whose change was made is put into a block once.

--- a/core/core.go
+++ b/core/core.go
@@ -14,6 +14,7 @@
 	"dewlift/ccs"
 	"dewlift/core/budget"
 	"dewlift/core/ledger"
+	"dewlift/core/recorder"
 	"dewlift/wire"
 )
 
@@ -234,10 +235,11 @@
 	leader  held
 	nodes   map[string]held
 
-	hist      history  // see history.go
-	rights    rights   // see rights.go
-	audit     auditing // see audit.go
-	sweep     *sweep   // see sweep.go
+	hist      history // see history.go
+	rights    rights  // see rights.go
+	audit     *recorder.Recorder
+	restored  restored
+	sweep     *sweep // see sweep.go
 	sweepLook time.Duration
 	loadFrom  string // the key up to which all keys were read
 	loadAt    uint64 // revision of the first page
@@ -351,7 +353,7 @@
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
-		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newAuditing()}
+		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newRecorder(&cfg, now)}
 	c.copy.Expire = cfg.CopyExpire
 	for _, p := range cfg.Peers {
 		c.peers[p] = &peer{}
@@ -504,7 +506,7 @@
 		c.readAudit(in)
 	case Refused:
 		for _, it := range in.Items {
-			c.gatherRefused(audit.Item{Who: it.Who, Verb: it.Verb, Object: it.Object, Why: it.Why}, it.Count)
+			c.recorder().Refused(audit.Item{Who: it.Who, Verb: it.Verb, Object: it.Object, Why: it.Why}, it.Count)
 		}
 	case Beat:
 		c.beat(in)
@@ -744,7 +746,7 @@
 		c.rights = rights{who: map[string]storedIdentity{}}
 		c.hist.index.Clear()
 		c.sweep = nil
-		c.audit.restored = 0
+		c.restored.mark = 0
 		c.loadAt, c.loadPages = in.Ledger, 0
 		c.loads++
 	}
@@ -853,7 +855,7 @@
 		j.load = c.loads
 		if mark <= j.mark {
 			if j.rec != nil { // its own write's reply came before
-				c.sawCarried(key, j.mark, j.rec.Carried)
+				c.recorder().Saw(key, j.mark, j.rec.Carried)
 			}
 			return
 		}
@@ -863,14 +865,14 @@
 			bad(err)
 			return
 		}
-		c.sawCarried(key, mark, r.Carried)
+		c.recorder().Saw(key, mark, r.Carried)
 		c.adopt(j, r, r.Assigned(c.seat), mark, len(raw))
 	case strings.HasPrefix(key, keyForm):
 		bad(c.putForm(key, raw, mark))
 	case strings.HasPrefix(key, keyAccess):
 		bad(c.putAccess(key, raw, mark))
-	case strings.HasPrefix(key, keyAudit):
-		bad(c.putAudit(key, raw, mark))
+	case strings.HasPrefix(key, recorder.Prefix):
+		bad(c.recorder().Put(key, raw, mark))
 	case key == KeyRestored:
 		bad(c.putRestored(raw, mark))
 	case key == keyHistory:
@@ -902,7 +904,7 @@
 	case strings.HasPrefix(key, keyAccess):
 		c.dropAccess(key)
 	case key == KeyRestored:
-		c.audit.restored = 0
+		c.restored.mark = 0
 	case strings.HasPrefix(key, keyJob):
 		c.moved(key[len(keyJob):], mark)
 	}
--- a/core/form.go
+++ b/core/form.go
@@ -7,6 +7,7 @@
 
 	"dewlift/audit"
 	"dewlift/core/ledger"
+	"dewlift/core/recorder"
 	"dewlift/wire"
 )
 
@@ -127,9 +128,9 @@
 // markCancelled cancels a job whose record is too large to be written again as it is: an older
 // version may have stored it under larger limits. The mark is one small durable write. The
 // record follows as its tasks end, and its writers see to it that there is no mark.
-func (c *Core) markCancelled(j *job, ms int64, conds []wire.Cond, acts []act) {
+func (c *Core) markCancelled(j *job, ms int64, conds []wire.Cond, acts []recorder.Act) {
 	key := keyCancel + j.id
-	list, ids := c.carry(key, j.cancelMark, j.markCarried, acts)
+	list, ids := c.recorder().Carry(key, j.cancelMark, j.markCarried, acts)
 	raw, err := json.Marshal(cancelMark{CancelMS: ms, Carried: list})
 	if err != nil {
 		panic(err) // a number, and bytes
@@ -137,7 +138,7 @@
 	j.inflight = true
 	c.commit(wire.Txn{If: append(conds, wire.Cond{Key: keyJob + j.id, Mark: j.mark}, wire.Cond{Key: key, Mark: j.cancelMark}),
 		Then: []wire.Write{{Put: key, Value: raw}}}, &txn{done: func(status int, _ wire.TxnReply) {
-		c.carried(ids, status)
+		c.recorder().Outcome(ids, status)
 		j.inflight = false
 		c.touch(j)
 		if status == 429 || status == 503 {
@@ -155,7 +156,7 @@
 		return err
 	}
 	j := c.job(key[len(keyCancel):])
-	c.sawCarried(key, mark, v.Carried)
+	c.recorder().Saw(key, mark, v.Carried)
 	j.cancelMark, j.markedMS, j.markCarried = mark, v.CancelMS, v.Carried
 	if j.mark != 0 && j.rec.Stage == ledger.Queued {
 		rec := *j.rec
--- a/core/history.go
+++ b/core/history.go
@@ -196,7 +196,7 @@
 	h := &c.hist
 	h.movedTo = max(h.movedTo, mark)
 	h.index.Moved(id, mark)
-	c.notCarried(keyJob+id, mark) // what it carried was in blocks before it moved
+	c.recorder().NotCarried(keyJob+id, mark) // what it carried was in blocks before it moved
 	i, ok := c.jobIdx[id]
 	if !ok || c.jobs[i].mark == 0 {
 		if mark > h.loadedTo {
--- a/core/own.go
+++ b/core/own.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"dewlift/core/recorder"
 	"dewlift/wire"
 )
 
@@ -154,7 +155,7 @@
 			t.If = append(t.If, wire.Cond{Key: keyLeader, Mark: c.leader.mark})
 			t.Then = append(t.Then, wire.Write{Put: keyLeader, Value: c.heldValue(token), Lease: c.lease})
 		}
-		told = c.carryBeside(&t, "take/"+c.cfg.Name, act{verb: verbTake, object: taken(claims, lead), why: fmt.Sprintf("token %d", token)})
+		told = c.carryBeside(&t, "take/"+c.cfg.Name, recorder.Act{Verb: recorder.Take, Object: taken(claims, lead), Why: fmt.Sprintf("token %d", token)})
 	} else if ops == 0 && (count > fair || uneven) && c.now >= c.giveAt {
 		c.giveAt = c.now + 1500*time.Millisecond
 		if i := c.surplus(); i >= 0 {
--- a/core/place.go
+++ b/core/place.go
@@ -9,6 +9,7 @@
 
 	"dewlift/ccs"
 	"dewlift/core/ledger"
+	"dewlift/core/recorder"
 	"dewlift/wire"
 )
 
@@ -31,12 +32,12 @@
 	size    int // of the record, as it is written
 	accept  bool
 	cancel  bool
-	routine bool        // it only tells of ends
-	starts  bool        // it only starts tasks
-	acts    []act       // to be recorded
-	asked   int         // how many of them, the first, are cancellations that users asked for
-	ids     []uint64    // of their entries
-	conds   []wire.Cond // under which a new job can't have been archived, and its user still may
+	routine bool           // it only tells of ends
+	starts  bool           // it only starts tasks
+	acts    []recorder.Act // to be recorded
+	asked   int            // how many of them, the first, are cancellations that users asked for
+	ids     []uint64       // of their entries
+	conds   []wire.Cond    // under which a new job can't have been archived, and its user still may
 }
 
 // commit sends a transaction and pays for it.
@@ -93,7 +94,7 @@
 	for _, p := range x.props {
 		j := p.j
 		j.inflight = false
-		c.carried(p.ids, in.Status)
+		c.recorder().Outcome(p.ids, in.Status)
 		if in.Status == 200 {
 			for _, a := range p.ended {
 				c.freed(j, a)
@@ -432,7 +433,7 @@
 	if j.cancelMark != 0 && p.rec.Spec == nil { // its mark goes
 		old = append(slices.Clone(old), j.markCarried...)
 	}
-	p.rec.Carried, p.ids = c.carry(keyJob+j.id, j.mark, old, p.acts)
+	p.rec.Carried, p.ids = c.recorder().Carry(keyJob+j.id, j.mark, old, p.acts)
 	raw, err := c.fitValue(p)
 	if err != nil || len(raw) > c.cfg.ValueBytes {
 		// An older version may have stored it under larger limits, or its tasks end in an order that
@@ -447,7 +448,7 @@
 	}
 	p.size = len(raw)
 	if p.starts && len(p.started) == 0 {
-		c.carried(p.ids, 409) // never sent
+		c.recorder().Outcome(p.ids, 409) // never sent
 		// No start fits the value before others of its tasks have ended. Without this, such a job
 		// was written again and again as it was, and the others starved.
 		j.lookAt = c.now + time.Second
@@ -525,7 +526,7 @@
 
 // undo gives back the room of starts that were not committed.
 func (c *Core) undo(p *proposal) {
-	c.carried(p.ids, 409) // never sent
+	c.recorder().Outcome(p.ids, 409) // never sent
 	for _, a := range p.started {
 		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: p.spec.Claim})
 	}
@@ -573,12 +574,12 @@
 		s := c.pickShard()
 		rec := &ledger.Record{Shard: s, Spec: &spec, AtMS: j.accept.unixMS, Who: j.accept.by.Who}
 		p = &proposal{j: j, rec: rec, spec: rec.Spec, accept: true, conds: append(c.onRights(j.accept.by), unless),
-			acts: []act{{by: j.accept.by, verb: "submit", object: j.id, why: fmt.Sprintf("%s %s %s", spec.Team, spec.Class, wire.PriorityName(spec.Priority))}}}
+			acts: []recorder.Act{actOf(j.accept.by, "submit", j.id, fmt.Sprintf("%s %s %s", spec.Team, spec.Class, wire.PriorityName(spec.Priority)))}}
 		left, _, cancelled := c.unmet(&spec)
 		if cancelled != nil {
 			p.rec = &ledger.Record{Shard: s, Stage: ledger.Cancelled, CancelMS: c.unixMS(), By: cancelled.id}
 			c.keepGroup(p.rec, &spec)
-			p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + cancelled.id})
+			p.acts = append(p.acts, recorder.Act{Verb: "cancel", Object: j.id, Why: "needs " + cancelled.id})
 			return p, 0
 		}
 		spec.Awaits = left // what is over needs no keeping
@@ -607,7 +608,7 @@
 		rec.Stage = ledger.Cancelled
 		rec.CancelMS = j.cancelMS
 		for _, x := range j.cancels {
-			if a := (act{by: x.by, verb: "cancel", object: j.id}); !slices.Contains(p.acts, a) {
+			if a := actOf(x.by, "cancel", j.id, ""); !slices.Contains(p.acts, a) {
 				p.acts = append(p.acts, a)
 			}
 		}
@@ -616,7 +617,7 @@
 	ended := j.cause != nil && rec.Stage == ledger.Queued // with a job that it needs
 	if ended {
 		rec.Stage, rec.By, rec.CancelMS = ledger.Cancelled, j.cause.id, c.unixMS()
-		p.acts = append(p.acts, act{verb: "cancel", object: j.id, why: "needs " + j.cause.id})
+		p.acts = append(p.acts, recorder.Act{Verb: "cancel", Object: j.id, Why: "needs " + j.cause.id})
 	}
 	if !c.mine(j) {
 		if !p.cancel {
--- a/core/rights.go
+++ b/core/rights.go
@@ -11,6 +11,7 @@
 
 	"dewlift/access"
 	"dewlift/core/ledger"
+	"dewlift/core/recorder"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -333,7 +334,7 @@
 	for _, w := range t.Then {
 		seeded = append(seeded, strings.TrimPrefix(w.Put, keyAccess))
 	}
-	told := c.carryBeside(&t, "rights", act{verb: "administer", object: "rights", why: "first rights: " + strings.Join(seeded, " ")})
+	told := c.carryBeside(&t, "rights", recorder.Act{Verb: "administer", Object: "rights", Why: "first rights: " + strings.Join(seeded, " ")})
 	r.seeding = true
 	c.commit(t, &txn{done: func(status int, _ wire.TxnReply) {
 		told(status)
@@ -400,7 +401,7 @@
 	if in.By.Who != in.Who {
 		t.If = append(t.If, wire.Cond{Key: keyWho + in.Who, Mark: old.mark})
 	}
-	told := c.carryBeside(&t, "who/"+in.Who, act{by: in.By, verb: "administer", object: in.Who, why: in.summary()})
+	told := c.carryBeside(&t, "who/"+in.Who, actOf(in.By, "administer", in.Who, in.summary()))
 	c.commit(t, &txn{done: func(status int, _ wire.TxnReply) {
 		told(status)
 		c.afterBarrier(func(bool) {}) // it shows here too, soon
@@ -520,7 +521,7 @@
 		case !d.Allowed:
 			c.forbid(in.Req, in.By, in.Verb.String(), in.Object, d.Why)
 		default:
-			c.recordRead(in.By, in.Verb.String(), in.Object, func(ok bool) {
+			c.recorder().Read(in.By.Who, in.Verb.String(), in.Object, func(ok bool) {
 				if !ok {
 					c.refuse(in.Req, "this can't be recorded now")
 					return
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -95,7 +95,7 @@
 		for _, it := range in.Items {
 			s.after = it.Key
 			r, err := ledger.Decode(it.Value)
-			if err != nil || r.Spec != nil || r.Stage == ledger.Queued || it.Mark > s.below || !c.allInBlocks(r.Carried) {
+			if err != nil || r.Spec != nil || r.Stage == ledger.Queued || it.Mark > s.below || !c.recorder().AllInBlocks(r.Carried) {
 				continue
 			}
 			id := strings.TrimPrefix(it.Key, keyJob)
