Mesh: a stream that ends within a message is an end, not an error

Cause: the scanner hands on what it has when a stream breaks; so each controller that was ended or cut off in the middle of a line was logged as a message that is not understood.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,5 +1,5 @@
-// Package mesh carries messages between controllers over HTTP/2 streams, with mutual TLS if it is set: each controller holds one stream open to each other and writes JSON messages to it, one
-// a line. Messages are news that may be lost; none of them is needed for safety.
+// Package mesh carries messages between controllers over HTTP/2 streams, with mutual TLS if it is set: each
+// controller holds one stream open to each other and writes JSON messages to it, one a line. Messages are news that may be lost; none of them is needed for safety.
 package mesh
 
 import (
@@ -143,6 +143,7 @@
 	}()
 	sc := bufio.NewScanner(r.Body)
 	sc.Buffer(make([]byte, 0, 16<<10), maxLine)
+	sc.Split(wholeLines)
 	for sc.Scan() {
 		if len(sc.Bytes()) == 0 {
 			continue
@@ -154,6 +155,19 @@
 		}
 		h(peer, msg)
 	}
+	if errors.Is(sc.Err(), bufio.ErrTooLong) {
+		m.log.Error("mesh message too long", "peer", peer, "most", maxLine)
+	}
+}
+
+// wholeLines splits a stream into lines. One that ends within a line has ended, as it does when its sender is
+// stopped or cut off: what there is of the line is no message.
+func wholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	advance, line, err = bufio.ScanLines(data, false)
+	if atEOF && advance == 0 {
+		advance = len(data)
+	}
+	return advance, line, err
 }
 
 // keep holds a stream to a peer open, again and again.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -7,11 +7,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"dewlift/core"
@@ -152,3 +154,24 @@
 		})
 	}
 }
+
+// A stream that ended in the middle of a message was logged as one that was not understood.
+func TestStreamThatEndsWithinAMessageIsAnEnd(t *testing.T) {
+	var logged strings.Builder
+	m := New("n0", map[string]string{"n1": "127.0.0.1:1"}, nil, slog.New(slog.NewTextHandler(&logged, nil)))
+	for text, want := range map[string]int{"{\"w\":[\"m-1\"]}\n{\"w\":[\"m-": 1, "{\"w\":[\"m-1\"]}\n\n{\"w\":[\"m-2\"]}\n": 2, "{\"w\"": 0, "": 0} {
+		heard := 0
+		r := httptest.NewRequest(http.MethodPost, path, io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		r.Header.Set(header, "n1")
+		m.serve(httptest.NewRecorder(), r, func(string, core.Msg) { heard++ })
+		if heard != want || logged.Len() > 0 {
+			t.Errorf("%q: %d messages, logged %s", text, heard, logged.String())
+		}
+	}
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("{\"w\"\n"))
+	r.Header.Set(header, "n1")
+	m.serve(httptest.NewRecorder(), r, func(string, core.Msg) { t.Error("nonsense was heard") })
+	if !strings.Contains(logged.String(), "not understood") {
+		t.Error("a line that is no message was not logged")
+	}
+}
