--- a/archive/archive_test.go
+++ b/archive/archive_test.go
@@ -174,6 +174,50 @@
 	}
 }
 
+// A block is decoded once while it is among the few asked for last, and never older than it was put.
+func TestFewBlocksStayDecoded(t *testing.T) {
+	x := NewIndex(1 << 20)
+	put := func(i, done int, mark uint64) {
+		id := fmt.Sprintf("wk-%d", i)
+		b := &Block{Low: id, High: id + "~", Entries: []Entry{{ID: id, Done: done}}}
+		raw, err := b.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.Put(b, raw, mark, mark)
+	}
+	get := func(i int) *Block {
+		b, _, err := x.Block(fmt.Sprintf("wk-%d", i), 0)
+		if b == nil || err != nil {
+			t.Fatal(i, err)
+		}
+		return b
+	}
+	for i := range 8 {
+		put(i, 1, uint64(i+1))
+	}
+	first := get(0)
+	if get(0) != first {
+		t.Error("it is decoded twice")
+	}
+	for i := range 8 {
+		get(i)
+	}
+	if len(x.open) != mostOpen || get(0) == first {
+		t.Errorf("%d blocks stay decoded", len(x.open))
+	}
+	put(0, 2, 20)
+	if e, _ := get(0).Find("wk-0"); e.Done != 2 || len(x.open) > mostOpen {
+		t.Errorf("%+v, %d decoded", e, len(x.open))
+	}
+	x.Moved("wk-0", 30)
+	x.Overtaken(Key("wk-1~"))
+	x.Clear()
+	if b, _, _ := x.Block("wk-0", 0); b != nil || len(x.open) != 0 {
+		t.Error("what was forgotten is there")
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for n := range 4 {
 		var es []Entry
--- a/archive/index.go
+++ b/archive/index.go
@@ -15,6 +15,7 @@
 	bytes int
 	byKey []*known   // in the order of their ranges, which do not overlap
 	lru   *list.List // of *known, the one used last in front
+	open  []*known   // those whose blocks are decoded, the last one last
 }
 
 type known struct {
@@ -22,11 +23,15 @@
 	mark      uint64
 	ledger    uint64
 	raw       json.RawMessage
-	bad       bool // it can't be decoded
+	bad       bool   // it can't be decoded
+	block     *Block // decoded, while it is among the open ones
 	at        *list.Element
 }
 
-const overhead = 200 // bytes a block takes in memory beside its value
+const (
+	overhead = 200 // bytes a block takes in memory beside its value
+	mostOpen = 3   // blocks that are kept decoded, some 100 KB each: a request asks for one several times
+)
 
 // NewIndex returns an index of at most so many bytes.
 func NewIndex(most int) *Index { return &Index{most: most, lru: list.New()} }
@@ -68,6 +73,10 @@
 }
 
 func (x *Index) forget(k *known) {
+	if k.block != nil {
+		k.block = nil
+		x.open = slices.DeleteFunc(x.open, func(o *known) bool { return o == k })
+	}
 	x.bytes -= len(k.raw) + overhead
 	x.lru.Remove(k.at)
 }
@@ -113,9 +122,9 @@
 }
 
 // Clear forgets all.
-func (x *Index) Clear() { x.byKey, x.bytes = nil, 0; x.lru.Init() }
+func (x *Index) Clear() { x.byKey, x.open, x.bytes = nil, nil, 0; x.lru.Init() }
 
-// Block returns the block that covers an id, with its key's mark, if it is remembered as of a
+// Block returns the block that covers an id, which must not be changed, with its key's mark, if it is remembered as of a
 // revision that no move after since can have changed. ErrCorrupt tells that it can't be read.
 func (x *Index) Block(id string, since uint64) (b *Block, mark uint64, err error) {
 	k := x.covering(id)
@@ -129,6 +138,14 @@
 	if k.raw == nil {
 		return &Block{Low: k.low, High: k.high}, k.mark, nil
 	}
-	b, err = Decode(k.raw)
-	return b, k.mark, err
+	if k.block == nil {
+		if k.block, err = Decode(k.raw); err != nil {
+			return nil, k.mark, err
+		}
+		if x.open = append(x.open, k); len(x.open) > mostOpen {
+			x.open[0].block = nil
+			x.open = slices.Delete(x.open, 0, 1)
+		}
+	}
+	return k.block, k.mark, nil
 }
