--- a/core/core.go
+++ b/core/core.go
@@ -14,6 +14,7 @@
 	"dewlift/ccs"
 	"dewlift/core/budget"
 	"dewlift/core/ledger"
+	"dewlift/core/links"
 	"dewlift/core/recorder"
 	"dewlift/wire"
 )
@@ -194,15 +195,6 @@
 	since time.Duration // absent since
 }
 
-type peer struct {
-	heard   time.Duration
-	known   bool
-	stateOK bool
-	used    float64  // changes of the state service a second
-	hears   []string // controllers that it reaches
-	loading int      // pages of all keys that it has read; 0: it is not reading them
-}
-
 // Core is the state machine of one controller.
 type Core struct {
 	cfg  Config
@@ -222,7 +214,7 @@
 	hot        []*machine // those that may need orders
 	teamIdx    map[string]int
 	teams      []*team
-	peers      map[string]*peer
+	links      *links.Links
 
 	// The replica of the state service.
 	seen    uint64
@@ -350,14 +342,11 @@
 // New makes a core; seed feeds its randomness.
 func New(cfg Config, now time.Duration, seed uint64) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
-		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, peers: map[string]*peer{},
+		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, links: links.New(cfg.Peers, cfg.LinkLost),
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
 		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newRecorder(&cfg, now)}
 	c.copy.Expire = cfg.CopyExpire
-	for _, p := range cfg.Peers {
-		c.peers[p] = &peer{}
-	}
 	c.shareBudget()
 	c.budget.Fill()
 	for i, t := range cfg.Teams {
@@ -462,16 +451,7 @@
 	if c.leaseOK() || c.stateFresh() {
 		return false
 	}
-	reached := 1
-	for _, p := range c.peers {
-		if p.known && c.now-p.heard < 2*time.Second {
-			reached++
-			if p.stateOK {
-				return false
-			}
-		}
-	}
-	return reached*2 > len(c.peers)+1
+	return c.links.Outage(c.now)
 }
 
 func (c *Core) stateFresh() bool {
@@ -636,8 +616,8 @@
 	all := c.writeRPS()
 	left := 0.9 * all
 	for _, n := range c.cfg.Peers {
-		if c.linked(n) {
-			left -= c.peers[n].used
+		if c.links.Linked(c.now, n) {
+			left -= c.links.Peer(n).Used
 		} else if _, ok := c.nodes[n]; ok {
 			left -= all / live
 		}
@@ -779,7 +759,7 @@
 // the first serves when it has read its own; at a time, all would serve when everything was read by all.
 func (c *Core) behind() bool {
 	for _, n := range c.cfg.Peers {
-		if p := c.peers[n]; c.linked(n) && (p.loading > c.loadPages || p.loading == c.loadPages && n < c.cfg.Name) {
+		if p := c.links.Peer(n); c.links.Linked(c.now, n) && (p.Loading > c.loadPages || p.Loading == c.loadPages && n < c.cfg.Name) {
 			return true
 		}
 	}
--- a/core/orders.go
+++ b/core/orders.go
@@ -157,7 +157,7 @@
 
 // otherWay is the peer by which a machine that does not answer is tried, every other time.
 func (c *Core) otherWay(m *machine) string {
-	in := c.inReach("")
+	in := c.links.InReach(c.now, "")
 	if m.misses%2 == 0 || len(in) == 0 {
 		return ""
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -8,11 +8,6 @@
 	"dewlift/wire"
 )
 
-func (c *Core) linked(name string) bool {
-	p := c.peers[name]
-	return p != nil && p.known && c.now-p.heard < c.cfg.LinkLost
-}
-
 // tell sends a message to a peer, or to all. One that is not reached gets it by way of
 // another: two zones may be cut off from each other while a third reaches both, and without
 // the other's reports a leader takes live machines for silent.
@@ -21,7 +16,7 @@
 		if peer != "" && peer != to {
 			continue
 		}
-		if by := c.bypass(to); by != "" && c.peers[to].known && !c.linked(to) {
+		if by := c.links.Way(c.now, to); by != "" {
 			via := m
 			via.To, via.From = to, c.cfg.Name
 			c.emit(ToPeer{Peer: by, Msg: via})
@@ -31,38 +26,12 @@
 	}
 }
 
-// bypass is a peer in reach that reaches the named one, or "". As long as none says that it does,
-// all in reach are tried in turn: one in the same zone is cut off from the other zone as well.
-func (c *Core) bypass(to string) string {
-	in := c.inReach(to)
-	for _, n := range in {
-		if slices.Contains(c.peers[n].hears, to) {
-			return n
-		}
-	}
-	if len(in) == 0 {
-		return ""
-	}
-	return in[int(c.now/c.cfg.LinkLost)%len(in)]
-}
-
-// inReach lists the peers in reach but one.
-func (c *Core) inReach(not string) []string {
-	var out []string
-	for _, n := range c.cfg.Peers {
-		if n != not && c.linked(n) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // tellHealth tells the others whether the state service is in reach here. A controller that
 // has not loaded yet does so too: in an outage, the ones left need a majority's word for it.
 func (c *Core) tellHealth() {
 	if c.now >= c.healthAt {
 		c.healthAt = c.now + c.cfg.HealthEvery
-		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.budget.Used(c.cfg.HealthEvery), Hears: c.inReach(""), Loading: c.pagesRead()}}})
+		c.emit(ToPeer{Msg: Msg{Health: &Health{StateOK: c.stateFresh(), Used: c.budget.Used(c.cfg.HealthEvery), Hears: c.links.InReach(c.now, ""), Loading: c.pagesRead()}}})
 		c.shareBudget()
 	}
 }
@@ -165,20 +134,20 @@
 }
 
 func (c *Core) fromPeer(in FromPeer) {
-	p := c.peers[in.Peer]
+	p := c.links.Peer(in.Peer)
 	if p == nil {
 		return
 	}
 	m := in.Msg
-	p.known, p.heard = true, c.now
+	c.links.Heard(c.now, in.Peer)
 	if m.To != "" {
 		if m.To != c.cfg.Name {
-			if c.peers[m.To] != nil && m.From == in.Peer {
+			if c.links.Peer(m.To) != nil && m.From == in.Peer {
 				c.emit(ToPeer{Peer: m.To, Msg: m})
 			}
 			return
 		}
-		if c.peers[m.From] == nil {
+		if c.links.Peer(m.From) == nil {
 			return
 		}
 		in.Peer = m.From
@@ -194,7 +163,7 @@
 		c.ordered(*m.Ordered)
 	}
 	if m.Health != nil {
-		p.stateOK, p.used, p.hears, p.loading = m.Health.StateOK, max(0, m.Health.Used), m.Health.Hears, m.Health.Loading
+		p.StateOK, p.Used, p.Hears, p.Loading = m.Health.StateOK, max(0, m.Health.Used), m.Health.Hears, m.Health.Loading
 	}
 	for _, r := range m.Reports {
 		if r != nil {
@@ -267,7 +236,7 @@
 // may be cut off from each other: the machines of one that had reported to the other are well,
 // but take longer to find a controller in reach than a silent machine is waited for.
 func (l *lead) askOthers(c *Core, quiet []string) {
-	in := c.inReach("")
+	in := c.links.InReach(c.now, "")
 	if len(quiet) == 0 || len(in) == 0 {
 		return
 	}
