--- a/cmd/dewlift/audit_test.go
+++ b/cmd/dewlift/audit_test.go
@@ -189,10 +189,11 @@
 	refusedNow := map[did]uint32{} // of this life
 	do := func(who, method, path string, body any, d did, want int) {
 		t.Helper()
+		die, wait := rng.Float64() < 0.12, time.Duration(rng.Int64N(int64(25*time.Millisecond))) // the same in every run
 		for try := range 200 {
 			killed := make(chan bool, 1)
-			if rng.Float64() < 0.12 && try == 0 {
-				kill, wait := s.stop, time.Duration(rng.Int64N(int64(25*time.Millisecond)))
+			if die && try == 0 {
+				kill := s.stop
 				go func() { time.Sleep(wait); kill(); killed <- true }()
 			} else {
 				killed <- false
--- a/controller.go
+++ b/controller.go
@@ -169,6 +169,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-errs:
+			if ctx.Err() != nil { // what it served ended with it
+				return ctx.Err()
+			}
 			return err
 		case first = <-c.inputs:
 		case <-t.C:
