--- a/core/history.go
+++ b/core/history.go
@@ -32,7 +32,6 @@
 	recalled []*job // in memory because somebody asked
 	leaving  []*job // to be dropped once nothing refers to them
 	free     []int32
-	pruneAt  time.Duration
 
 	index      *archive.Index
 	movedTo    uint64 // revision of the last move seen
@@ -187,10 +186,6 @@
 	c.over(j)
 }
 
-func (c *Core) rememberEntry(e archive.Entry, mark uint64) {
-	c.remember(e.ID, ledger.FromArchive(e, c.shardByName(e.ID)), mark, true)
-}
-
 // moved takes the news that a job's record is gone: it is in the archive since.
 func (c *Core) moved(id string, mark uint64) {
 	h := &c.hist
@@ -224,9 +219,8 @@
 	}
 }
 
-// absent reports whether a job that is not in memory is certain not to exist, as of the changes
-// that are known here. known is false if that must be read; an archived one is remembered. x tells
-// what a find has read for it; nil: nothing.
+// absent looks for a job that is not in memory, as of the changes that are known here. It is known whether there is one,
+// and an archived one is remembered, or something must be read first. x tells what a find has read for it; nil: nothing.
 func (c *Core) absent(id string, x *find) (known bool, err error) {
 	h := &c.hist
 	since := uint64(0)
@@ -246,11 +240,18 @@
 	if b == nil || err != nil {
 		return false, err
 	}
-	if e, ok := b.Find(id); ok {
-		c.rememberEntry(e, mark)
+	c.rememberFrom(b, mark, id)
+	return true, nil
+}
+
+// rememberFrom remembers a job if a block holds it.
+func (c *Core) rememberFrom(b *archive.Block, mark uint64, id string) bool {
+	e, ok := b.Find(id)
+	if ok {
 		c.Stats.Recalled++
+		c.remember(id, ledger.FromArchive(e, c.shardByName(id)), mark, true)
 	}
-	return true, nil
+	return ok
 }
 
 // recall remembers an archived job if the block that holds it is in memory.
@@ -259,10 +260,7 @@
 		return c.knownJob(id)
 	}
 	if b, mark, _ := c.hist.index.Block(id, 0); b != nil {
-		if e, ok := b.Find(id); ok {
-			c.rememberEntry(e, mark)
-			c.Stats.Recalled++
-		}
+		c.rememberFrom(b, mark, id)
 	}
 	return c.knownJob(id)
 }
@@ -276,8 +274,7 @@
 	if b == nil || err != nil {
 		return wire.Cond{}, false
 	}
-	if e, ok := b.Find(id); ok { // the block was read anew since the job was submitted
-		c.rememberEntry(e, mark)
+	if c.rememberFrom(b, mark, id) { // the block was read anew since the job was submitted
 		return wire.Cond{}, false
 	}
 	return wire.Cond{Key: archive.Key(b.High), Mark: mark}, true
