--- a/cmd/dewlift/access.go
+++ b/cmd/dewlift/access.go
@@ -329,7 +329,24 @@
 			}
 			return err
 		},
-	}, rotateCommand(me))
+	}, rotateCommand(me), revokeKeyCommand(me))
+	return cmd
+}
+
+func revokeKeyCommand(me *self) *cobra.Command {
+	var server string
+	cmd := &cobra.Command{
+		Use: "revoke HOLDER ID", Short: "Take a key away; it is good nowhere once this has ended well", Args: cobra.ExactArgs(2),
+		Example: "  dewlift key revoke anna anna-1 --key admin.key --server 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := edit(cmd.Context(), me, server, args[0], wire.RightsEdit{RevokeKeys: []string{args[1]}}); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is no key of %s any more\n", args[1], args[0])
+			return nil
+		},
+	}
+	serverFlag(cmd, &server)
 	return cmd
 }
 
--- a/cmd/dewlift/audit_test.go
+++ b/cmd/dewlift/audit_test.go
@@ -266,6 +266,16 @@
 		t.Errorf("the report: %d bytes, %v", len(page), err)
 	}
 
+	// A key that was revoked is good nowhere, and that is recorded too.
+	if out, err := s.run("key", "revoke", "pia", "pia-1"); err != nil || !strings.Contains(out, "no key of pia") {
+		t.Fatalf("%s %v", out, err)
+	}
+	s.eventually("shut out", func() bool { return s.ask("pia", get, "/v1/jobs/wk-label0", nil) == http.StatusUnauthorized })
+	s.eventually("recorded that a key was revoked", func() bool {
+		acts := s.list("--verb", "administer", "--object", "pia")
+		return len(acts) == 1 && acts[0].Why == "revoke keys pia-1"
+	})
+
 	// Saved, and restored to another state service: the chain goes on, and says so.
 	saved := s.file("saved")
 	if _, err := s.run("snapshot", "save", saved, "--share", "1"); err != nil {
--- a/cmd/dewlift/main_test.go
+++ b/cmd/dewlift/main_test.go
@@ -34,6 +34,8 @@
 		{"access revoke anna --key x", "nothing to revoke"},
 		{"key token " + bad, "not a private key"},
 		{"key new a/b", "is no name"},
+		{"key revoke anna", "accepts 2 arg(s)"},
+		{"key revoke anna anna-1", "--key FILE or --certificate FILE is needed"},
 		{"key rotate --key x", "--id and --out are needed"},
 		{"snapshot verify " + bad, "damaged snapshot"},
 		{"snapshot save x", "--server"},
