Restore leaves its sign only where something is recorded

Cause: every restored site kept the key dl/restored, which only controllers with an audit record take away; the test of restored keys found it.

--- a/snapshot/restore.go
+++ b/snapshot/restore.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"dewlift/core"
+	"dewlift/core/recorder"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -60,11 +61,12 @@
 		return nil, err
 	}
 	w := &putter{t: t, pace: rate.NewLimiter(rate.Limit(t.WriteRPS), max(t.TxnOps, int(t.WriteRPS)))}
-	n := 0
+	n, recorded := 0, false
 	if _, err := ReadFile(path, func(k *pb.Key) error {
 		if n++; progress != nil {
 			progress(n, int(head.Keys))
 		}
+		recorded = recorded || k.Name == recorder.KeyBegun
 		switch {
 		case leased(k.Name):
 			return nil
@@ -86,8 +88,11 @@
 	if err != nil {
 		return nil, err
 	}
-	// The controllers record it where they record anything.
-	_, status, err := ask[wire.TxnReply](ctx, &t.Source, http.MethodPost, wire.PathCommit, wire.Txn{Then: []wire.Write{{Delete: keyRestoring}, {Put: core.KeyRestored, Value: text}}})
+	last := wire.Txn{Then: []wire.Write{{Delete: keyRestoring}}}
+	if recorded { // the controllers will record that it was restored
+		last.Then = append(last.Then, wire.Write{Put: core.KeyRestored, Value: text})
+	}
+	_, status, err := ask[wire.TxnReply](ctx, &t.Source, http.MethodPost, wire.PathCommit, last)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("state service answers %d", status)
 	}
