Recorder: nothing is allocated for the record on each key and write

Every key that was read and every write made a closure for the log and a map for stops that did not happen, record or not. The log is told at the start; entries that were not sent are forgotten by name. Outputs are the same.

--- a/core/audit.go
+++ b/core/audit.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"dewlift/access"
 	"dewlift/audit"
@@ -27,14 +26,15 @@
 	busy bool
 }
 
-func newRecorder(cfg *Config, now time.Duration) *recorder.Recorder {
-	return recorder.New(recorder.Config{Key: cfg.AuditKey, Node: cfg.Name, Gather: cfg.AuditGather, Block: cfg.AuditBlock, Forget: cfg.AuditForget,
-		BoundMS: cfg.TimeBoundMS, Settings: cfg.Settings, Started: now})
+func (c *Core) newRecorder() *recorder.Recorder {
+	k := &c.cfg
+	return recorder.New(recorder.Config{Key: k.AuditKey, Node: k.Name, Gather: k.AuditGather, Block: k.AuditBlock, Forget: k.AuditForget,
+		BoundMS: k.TimeBoundMS, Settings: k.Settings, Started: c.now, Note: c.note})
 }
 
 // recorder is the audit record, as of this moment.
 func (c *Core) recorder() *recorder.Recorder {
-	c.audit.Env = recorder.Env{Now: c.now, UnixMS: c.unixMS(), On: c.auditing(), ValueBytes: c.cfg.ValueBytes, Note: c.note}
+	c.audit.Env = recorder.Env{Now: c.now, UnixMS: c.unixMS(), On: c.auditing(), ValueBytes: c.cfg.ValueBytes}
 	return c.audit
 }
 
@@ -203,6 +203,9 @@
 
 // stopsOf are the acts of tasks that were stopped, one for each cause.
 func stopsOf(id string, why []ledger.Reason) (acts []recorder.Act) {
+	if len(why) == 0 { // most writes
+		return nil
+	}
 	causes := map[string]*struct {
 		tasks    ledger.Ranges
 		machines []string
--- a/core/audit_test.go
+++ b/core/audit_test.go
@@ -38,7 +38,7 @@
 // records gives a controller that has not recorded anything the key of the record.
 func records(c *Core, gather, block time.Duration, settings map[string]string) {
 	c.cfg.AuditKey, c.cfg.AuditGather, c.cfg.AuditBlock, c.cfg.AuditForget, c.cfg.Settings = testKey, gather, block, 10*time.Second, settings
-	c.audit = newRecorder(&c.cfg, 0)
+	c.audit = c.newRecorder()
 }
 
 // blocksOf are the entries of the blocks among writes.
--- a/core/core.go
+++ b/core/core.go
@@ -345,7 +345,8 @@
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, links: links.New(cfg.Peers, cfg.LinkLost),
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
-		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}, audit: newRecorder(&cfg, now)}
+		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}}
+	c.audit = c.newRecorder()
 	c.copy.Expire = cfg.CopyExpire
 	c.shareBudget()
 	c.budget.Fill()
--- a/core/place.go
+++ b/core/place.go
@@ -448,7 +448,7 @@
 	}
 	p.size = len(raw)
 	if p.starts && len(p.started) == 0 {
-		c.recorder().Outcome(p.ids, 409) // never sent
+		c.recorder().Unsent(p.ids)
 		// No start fits the value before others of its tasks have ended. Without this, such a job
 		// was written again and again as it was, and the others starved.
 		j.lookAt = c.now + time.Second
@@ -526,7 +526,7 @@
 
 // undo gives back the room of starts that were not committed.
 func (c *Core) undo(p *proposal) {
-	c.recorder().Outcome(p.ids, 409) // never sent
+	c.recorder().Unsent(p.ids)
 	for _, a := range p.started {
 		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: p.spec.Claim})
 	}
--- a/core/recorder/recorder.go
+++ b/core/recorder/recorder.go
@@ -45,6 +45,7 @@
 	BoundMS  uint32        // how far the time of day may be off
 	Settings map[string]string
 	Started  time.Duration
+	Note     func(level, text string, args ...any) // for the log
 }
 
 // Env is what a recorder must know of the moment; whoever calls it sets it before.
@@ -53,7 +54,6 @@
 	UnixMS     int64
 	On         bool // it records: there is a key, and every controller knows the record
 	ValueBytes int
-	Note       func(level, text string, args ...any)
 }
 
 // Recorder is the state of a controller's recording.
@@ -254,20 +254,30 @@
 
 // Outcome takes the outcome of a transaction with entries.
 func (r *Recorder) Outcome(ids []uint64, status int) {
+	switch status {
+	case 409, 429, 503, 400: // not executed
+		r.Unsent(ids)
+		return
+	}
 	for _, id := range ids {
 		s := r.sent[id]
 		switch {
 		case s == nil:
 		case status == 200:
 			r.confirm(id)
-		case status == 409 || status == 429 || status == 503 || status == 400: // not executed
-			delete(r.sent, id)
 		default:
 			r.unsure[s.key] = append(r.unsure[s.key], id)
 		}
 	}
 }
 
+// Unsent forgets entries of a transaction that was not sent, or not executed.
+func (r *Recorder) Unsent(ids []uint64) {
+	for _, id := range ids {
+		delete(r.sent, id)
+	}
+}
+
 // confirm has an entry put into a block: its change was made.
 func (r *Recorder) confirm(id uint64) {
 	if s := r.sent[id]; s != nil {
@@ -293,7 +303,7 @@
 		default:
 			raw := x.Entry
 			if _, err := r.cfg.Key.Open(key, x); err != nil {
-				r.Env.Note("error", "an entry of the audit record was altered", "key", key, "life", x.Life, "count", x.Count)
+				r.cfg.Note("error", "an entry of the audit record was altered", "key", key, "life", x.Life, "count", x.Count)
 				raw = audit.Encode(&pb.AuditEntry{Life: x.Life, Count: x.Count, AtMs: r.Env.UnixMS, Verb: Forged, Object: audit.Clip(key), Outcome: pb.AuditOutcome_refused, Why: err.Error()})
 			}
 			r.former[id] = true
@@ -362,7 +372,7 @@
 	i := slices.IndexFunc(r.tries, func(t try) bool { return t.number == h.Number && string(t.code) == string(h.Code) })
 	if i < 0 {
 		if r.ready {
-			r.Env.Note("error", "the chain of the audit record was continued by another process, or set back", "block", h.Number)
+			r.cfg.Note("error", "the chain of the audit record was continued by another process, or set back", "block", h.Number)
 		}
 		// What this life has sent shows with the changes, as a former life's.
 		r.ready, r.life, r.tries = false, 0, nil
@@ -411,7 +421,7 @@
 	}
 	raw, n, code, err := r.cfg.Key.Extend(h, r.cfg.Node, r.cfg.BoundMS, raws, r.Env.ValueBytes*15/16)
 	if err != nil {
-		r.Env.Note("error", "the audit record can't go on", "err", err.Error())
+		r.cfg.Note("error", "the audit record can't go on", "err", err.Error())
 		r.nextAt = r.Env.Now + 10*time.Second
 		return nil
 	}
@@ -463,7 +473,7 @@
 	e := r.entry(Act{Verb: Start, Object: r.cfg.Node, Why: why})
 	raw, _, code, err := r.cfg.Key.Extend(h, r.cfg.Node, r.cfg.BoundMS, [][]byte{audit.Encode(e)}, r.Env.ValueBytes)
 	if err != nil {
-		r.Env.Note("error", "the audit record can't begin", "err", err.Error())
+		r.cfg.Note("error", "the audit record can't begin", "err", err.Error())
 		r.nextAt = r.Env.Now + 10*time.Second
 		return nil
 	}
--- a/core/recorder/recorder_test.go
+++ b/core/recorder/recorder_test.go
@@ -71,10 +71,11 @@
 		var now time.Duration
 		pass := func(d time.Duration) {
 			now += d
-			r.Env = Env{Now: now, UnixMS: now.Milliseconds(), On: true, ValueBytes: 1200, Note: func(string, string, ...any) {}}
+			r.Env = Env{Now: now, UnixMS: now.Milliseconds(), On: true, ValueBytes: 1200}
 		}
 		start := func() {
-			r = New(Config{Key: key, Node: "n0", Gather: time.Second, Block: 2 * time.Second, Forget: time.Hour, Started: now})
+			r = New(Config{Key: key, Node: "n0", Gather: time.Second, Block: 2 * time.Second, Forget: time.Hour, Started: now,
+				Note: func(string, string, ...any) {}})
 			pass(0)
 			if err := s.tell(r); err != nil {
 				t.Fatal(err)
