--- a/archive/index.go
+++ b/archive/index.go
@@ -66,9 +66,7 @@
 	k.at = x.lru.PushFront(k)
 	x.bytes += len(k.raw) + overhead
 	for x.bytes > x.most && len(x.byKey) > 1 {
-		old := x.lru.Back().Value.(*known)
-		x.byKey = slices.DeleteFunc(x.byKey, func(o *known) bool { return o == old })
-		x.forget(old)
+		x.drop(x.lru.Back().Value.(*known))
 	}
 }
 
--- a/core/audit.go
+++ b/core/audit.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 
-	"dewlift/access"
 	"dewlift/audit"
 	"dewlift/core/ledger"
 	"dewlift/core/recorder"
@@ -149,27 +148,19 @@
 		c.reply(in.Req, 404, wire.Error{Error: "nothing is recorded here"})
 		return
 	}
-	c.soonAfterBarrier(func(ok bool) {
-		d := c.may(in.By, access.Act{Verb: pb.Verb_audit})
-		object := "audit"
-		if in.Node != "" {
-			object = "audit of " + in.Node
-		}
-		switch {
-		case !ok:
-			c.refuse(in.Req, "state service not reached")
-		case !d.Allowed:
-			c.forbid(in.Req, in.By, "audit", object, d.Why)
-		default:
-			c.recorder().Read(in.By.Who, "audit", object, func(ok bool) {
-				if !ok {
-					c.refuse(in.Req, "reading can't be recorded now")
-					return
-				}
-				c.giveAudit(in)
-			})
-		}
-	})
+	object := "audit"
+	if in.Node != "" {
+		object = "audit of " + in.Node
+	}
+	c.soonAfterBarrier(c.ifMay(in.Req, in.By, pb.Verb_audit, object, func() {
+		c.recorder().Read(in.By.Who, "audit", object, func(ok bool) {
+			if !ok {
+				c.refuse(in.Req, "reading can't be recorded now")
+				return
+			}
+			c.giveAudit(in)
+		})
+	}))
 }
 
 func (c *Core) giveAudit(in ReadAudit) {
--- a/core/history.go
+++ b/core/history.go
@@ -66,7 +66,7 @@
 	return history{index: archive.NewIndex(cfg.HistoryCache), finds: map[string]*find{}, reads: map[uint64]func(Scanned){}}
 }
 
-// ended reports whether a job is over and nothing of it is left to be done: its record is final.
+// endedWhole reports whether a job is over and nothing of it is left to be done: its record is final.
 func (j *job) endedWhole() bool {
 	return j.rec != nil && j.rec.Spec == nil && j.rec.Stage != ledger.Queued
 }
@@ -306,6 +306,17 @@
 	x.fs = append(x.fs, f)
 }
 
+// findFor has a job looked for that somebody asks about, and calls f with it; nil: there is none.
+func (c *Core) findFor(req uint64, id string, f func(j *job)) {
+	c.find(id, func(ok bool) {
+		if j := c.knownJob(id); ok || j != nil {
+			f(j)
+		} else {
+			c.refuse(req, unreadable)
+		}
+	})
+}
+
 // findAll is find for several jobs.
 func (c *Core) findAll(ids []string, f func(ok bool)) {
 	left, all := len(ids)+1, true
@@ -352,7 +363,7 @@
 	}
 }
 
-// settle ends a find if it can be told now what became of its job.
+// settleFind ends a find if it can be told now what became of its job.
 func (c *Core) settleFind(x *find) bool {
 	if c.knownJob(x.id) != nil {
 		c.found(x, true)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -319,7 +319,7 @@
 		r.Done = Ranges{0, e.Done - 1}
 	}
 	for _, w := range e.Why {
-		r.Why = append(r.Why, Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
+		r.Why = append(r.Why, Reason(w))
 	}
 	return r
 }
@@ -328,7 +328,7 @@
 func (r *Record) ToArchive(id string) archive.Entry {
 	e := archive.Entry{ID: id, Cancelled: r.Stage == Cancelled, Done: r.Done.Count(), By: r.By, Team: r.Team, Class: r.Class}
 	for _, w := range r.Why {
-		e.Why = append(e.Why, archive.Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
+		e.Why = append(e.Why, archive.Reason(w))
 	}
 	return e
 }
--- a/core/rights.go
+++ b/core/rights.go
@@ -232,13 +232,7 @@
 				f(nil)
 				return
 			}
-			c.find(id, func(ok bool) {
-				if j := c.knownJob(id); ok || j != nil {
-					f(j)
-				} else {
-					c.refuse(req, unreadable)
-				}
-			})
+			c.findFor(req, id, f)
 		})
 	}
 }
@@ -514,22 +508,29 @@
 		c.reply(in.Req, 200, struct{}{})
 		return
 	}
-	c.afterBarrier(func(ok bool) {
-		switch d := c.may(in.By, access.Act{Verb: in.Verb}); {
+	c.afterBarrier(c.ifMay(in.Req, in.By, in.Verb, in.Object, func() {
+		c.recorder().Read(in.By.Who, in.Verb.String(), in.Object, func(ok bool) {
+			if !ok {
+				c.refuse(in.Req, "this can't be recorded now")
+				return
+			}
+			c.reply(in.Req, 200, struct{}{})
+		})
+	}))
+}
+
+// ifMay is what follows a barrier: f, if somebody may do what is bound to no job.
+func (c *Core) ifMay(req uint64, by Cred, verb access.Verb, object string, f func()) func(ok bool) {
+	return func(ok bool) {
+		switch d := c.may(by, access.Act{Verb: verb}); {
 		case !ok:
-			c.refuse(in.Req, "state service not reached")
+			c.refuse(req, "state service not reached")
 		case !d.Allowed:
-			c.forbid(in.Req, in.By, in.Verb.String(), in.Object, d.Why)
+			c.forbid(req, by, verb.String(), object, d.Why)
 		default:
-			c.recorder().Read(in.By.Who, in.Verb.String(), in.Object, func(ok bool) {
-				if !ok {
-					c.refuse(in.Req, "this can't be recorded now")
-					return
-				}
-				c.reply(in.Req, 200, struct{}{})
-			})
+			f()
 		}
-	})
+	}
 }
 
 // showRights answers with all rights, to those who may change them.
@@ -538,14 +539,7 @@
 		c.refuse(in.Req, "rights are not in force")
 		return
 	}
-	c.afterBarrier(func(ok bool) {
-		switch d := c.may(in.By, access.Act{Verb: pb.Verb_administer}); {
-		case !ok:
-			c.refuse(in.Req, "state service not reached")
-		case !d.Allowed:
-			c.forbid(in.Req, in.By, "administer", "rights", d.Why)
-		default:
-			c.reply(in.Req, 200, wire.Rights{Text: access.Format(c.rights.whole())})
-		}
-	})
+	c.afterBarrier(c.ifMay(in.Req, in.By, pb.Verb_administer, "rights", func() {
+		c.reply(in.Req, 200, wire.Rights{Text: access.Format(c.rights.whole())})
+	}))
 }
--- a/core/users.go
+++ b/core/users.go
@@ -30,7 +30,7 @@
 		return s
 	}
 	for _, w := range j.rec.Why {
-		s.Reasons = append(s.Reasons, wire.Reason{Task: w.Task, Machine: w.Machine, Cause: w.Cause, AtMS: w.AtMS})
+		s.Reasons = append(s.Reasons, wire.Reason(w))
 	}
 	s.Done = j.rec.Done.Count()
 	switch {
@@ -101,16 +101,12 @@
 		case !ok && (j == nil || !j.final()):
 			c.refuse(in.Req, "state service not reached")
 		case j == nil:
-			c.find(in.ID, func(ok bool) {
-				j := c.knownJob(in.ID)
-				switch {
-				case j != nil:
-					c.reply(in.Req, 200, c.state(j))
-				case !ok:
-					c.refuse(in.Req, unreadable)
-				default:
+			c.findFor(in.Req, in.ID, func(j *job) {
+				if j == nil {
 					c.reply(in.Req, 404, wire.Error{Error: "no such job"})
+					return
 				}
+				c.reply(in.Req, 200, c.state(j))
 			})
 		default:
 			c.reply(in.Req, 200, c.state(j))
@@ -357,16 +353,12 @@
 				c.refuse(in.Req, "state service not reached")
 				return
 			}
-			c.find(in.ID, func(ok bool) {
-				j := c.knownJob(in.ID)
-				switch {
-				case j != nil:
-					c.queueCancel(j, in)
-				case !ok:
-					c.refuse(in.Req, unreadable)
-				default:
+			c.findFor(in.Req, in.ID, func(j *job) {
+				if j == nil {
 					c.reply(in.Req, 404, wire.Error{Error: "no such job"})
+					return
 				}
+				c.queueCancel(j, in)
 			})
 		})
 		return
--- a/internal/sim/audit.go
+++ b/internal/sim/audit.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	protobuf "google.golang.org/protobuf/proto"
-
 	"dewlift/audit"
 	"dewlift/core"
 	pb "dewlift/proto"
@@ -196,7 +194,7 @@
 			r.broken("entry %v: %s", id, e.Why)
 		default:
 			if _, made := r.carried[id]; !made {
-				r.broken("entry %v is in a block and its change was not made: %v", id, protobuf.Clone(e))
+				r.broken("entry %v is in a block and its change was not made: %v", id, e)
 			}
 		}
 	}
--- a/snapshot/save.go
+++ b/snapshot/save.go
@@ -7,7 +7,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -75,11 +74,7 @@
 }
 
 func (s *Source) page(ctx context.Context, prefix, from string, most int) (wire.Page, error) {
-	path := fmt.Sprintf("%s?starts=%s&most=%d", wire.PathStore, url.QueryEscape(prefix), most)
-	if from != "" {
-		path += "&from=" + url.QueryEscape(from)
-	}
-	p, status, err := ask[wire.Page](ctx, s, http.MethodGet, path, nil)
+	p, status, err := ask[wire.Page](ctx, s, http.MethodGet, wire.ListPath(prefix, from, most), nil)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("state service answers %d", status)
 	}
--- a/statestore/statestore.go
+++ b/statestore/statestore.go
@@ -71,11 +71,7 @@
 }
 
 func (c *Client) page(ctx context.Context, prefix, from string, most int) (wire.Page, call.Result) {
-	u := fmt.Sprintf("%s%s?starts=%s&most=%d", c.base, wire.PathStore, url.QueryEscape(prefix), most)
-	if from != "" {
-		u += "&from=" + url.QueryEscape(from)
-	}
-	return call.Get[wire.Page](c.http.Do(ctx, timeout, http.MethodGet, u, nil))
+	return call.Get[wire.Page](c.http.Do(ctx, timeout, http.MethodGet, c.base+wire.ListPath(prefix, from, most), nil))
 }
 
 // Lease grants or extends a lease.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +36,15 @@
 // ForSnapshot tells, as a query of PathSite, that the state is to be saved.
 const ForSnapshot = "snapshot"
 
+// ListPath is the address of a listing of the state service: of at most so many keys with a prefix, behind one if there is any.
+func ListPath(prefix, from string, most int) string {
+	path := fmt.Sprintf("%s?starts=%s&most=%d", PathStore, url.QueryEscape(prefix), most)
+	if from != "" {
+		path += "&from=" + url.QueryEscape(from)
+	}
+	return path
+}
+
 // MaxBody is the largest request body.
 const MaxBody = 64 << 10
 
