Stand-ins and plots in one place: users with keys, a small job, machine types, a free address, a plot in a page

Two tests and two measurements each had their own. The users of the cooperative are the same in both tests; who administers may also read the record.

--- a/audit/report/report.go
+++ b/audit/report/report.go
@@ -2,9 +2,7 @@
 package report
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/base64"
 	"fmt"
 	"html/template"
 	"io"
@@ -18,6 +16,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"dewlift/audit"
+	"dewlift/internal/chart"
 )
 
 // Report counts acts by day. Its zero value is ready.
@@ -159,13 +158,5 @@
 	}
 	p.Legend.Top = true
 	p.X.Max += max(0.5, 0.2*float64(len(days))) // room for the legend
-	to, err := p.WriterTo(8*vg.Inch, 4*vg.Inch, "png")
-	if err != nil {
-		return "", err
-	}
-	var b bytes.Buffer
-	if _, err := to.WriteTo(&b); err != nil {
-		return "", err
-	}
-	return template.URL("data:image/png;base64," + base64.StdEncoding.EncodeToString(b.Bytes())), nil
+	return chart.Embed(p)
 }
--- a/cmd/dewlift/audit_test.go
+++ b/cmd/dewlift/audit_test.go
@@ -11,7 +11,6 @@
 
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,7 +23,6 @@
 	"dewlift"
 	"dewlift/access"
 	"dewlift/audit"
-	"dewlift/core"
 	"dewlift/internal/call"
 	"dewlift/internal/standin"
 	pb "dewlift/proto"
@@ -47,30 +45,13 @@
 
 func newCooperative(t *testing.T) *cooperative {
 	t.Helper()
-	s := &cooperative{t: t, state: standin.NewState(standin.Limits{ValueBytes: 8192, Ops: 12}), keys: map[string]*access.Private{}, dir: t.TempDir(), stop: func() {}}
+	s := &cooperative{t: t, state: standin.NewState(standin.Limits{ValueBytes: 8192, Ops: 12}), dir: t.TempDir(), stop: func() {}}
 	srv := httptest.NewServer(s.state)
 	t.Cleanup(srv.Close)
 	s.addr = strings.TrimPrefix(srv.URL, "http://")
-	types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.state.Fill([]wire.Item{{Key: core.Root + "types", Value: types}})
-	text := `
-		roles { name: "technician" grants { verbs: submit verbs: read verbs: cancel teams: "t" classes: "firing" } }
-		roles { name: "visitor" grants { verbs: submit verbs: read teams: "t" classes: "plan" } }
-		roles { name: "packer" grants { verbs: submit verbs: read verbs: cancel teams: "t" classes: "labels" } grants { verbs: read teams: "t" classes: "reroast" } }
-		roles { name: "portal" grants { verbs: submit verbs: cancel verbs: read teams: "t" classes: "reroast" } }
-		roles { name: "admin" grants { verbs: administer verbs: audit } }`
-	for _, x := range [][2]string{{"anna", "technician"}, {"potter", "visitor"}, {"pia", "packer"}, {"portal", "portal"}, {"root", "admin"}} {
-		k, err := access.NewKey(x[0], x[0]+"-1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.keys[x[0]] = k
-		text += fmt.Sprintf("identities { name: %q roles: %q keys { id: %q ed25519: %q } }", x[0], x[1], k.ID, k.Public())
-	}
-	if s.guards.Rights, err = access.Parse([]byte(text)); err != nil {
+	s.state.Types(wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}})
+	var err error
+	if s.guards.Rights, s.keys, err = standin.People(); err != nil {
 		t.Fatal(err)
 	}
 	if err := saveKey(s.file("root.key"), s.keys["root"]); err != nil {
@@ -88,12 +69,12 @@
 func (s *cooperative) file(name string) string { return filepath.Join(s.dir, name) }
 
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	t.Helper()
+	a, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // start runs the controller against a state service until stop is called, and waits until it is healthy.
@@ -169,11 +150,6 @@
 	return acts
 }
 
-func submission(id, class string) map[string]any {
-	return map[string]any{"uid": id, "ware": class, "crew": "t", "form": "batch", "heat": "standard", "pieces": 1, "cpus": 1, "cards": 0, "ram_gb": 1,
-		"mould": "i", "image_gb": 1, "one_zone": false, "spread": false, "borrowed": true, "firing_s": 10, "glaze_s": 0, "cool_s": 0}
-}
-
 // A glaze technician, a visiting potter, a packer who may reprint labels and not cancel a reroast, and a service, over
 // kills of the controller amid their acts: every act that was granted is in the record exactly once, every refused one of
 // a life that went on is found, and the record verifies, also as a snapshot and where that was restored.
@@ -221,11 +197,11 @@
 	post, get := http.MethodPost, http.MethodGet
 	for i := range 5 {
 		id := func(s string) string { return fmt.Sprintf("wk-%s%d", s, i) }
-		do("anna", post, "/v1/jobs", submission(id("fire"), "firing"), did{"anna", "submit", id("fire"), false}, 201)
-		do("potter", post, "/v1/jobs", submission(id("plan"), "plan"), did{"potter", "submit", id("plan"), false}, 201)
-		do("potter", post, "/v1/jobs", submission(id("no"), "firing"), did{"potter", "submit", id("no"), true}, 403)
-		do("portal", post, "/v1/jobs", submission(id("roast"), "reroast"), did{"portal", "submit", id("roast"), false}, 201)
-		do("pia", post, "/v1/jobs", submission(id("label"), "labels"), did{"pia", "submit", id("label"), false}, 201)
+		do("anna", post, "/v1/jobs", standin.Job(id("fire"), "firing"), did{"anna", "submit", id("fire"), false}, 201)
+		do("potter", post, "/v1/jobs", standin.Job(id("plan"), "plan"), did{"potter", "submit", id("plan"), false}, 201)
+		do("potter", post, "/v1/jobs", standin.Job(id("no"), "firing"), did{"potter", "submit", id("no"), true}, 403)
+		do("portal", post, "/v1/jobs", standin.Job(id("roast"), "reroast"), did{"portal", "submit", id("roast"), false}, 201)
+		do("pia", post, "/v1/jobs", standin.Job(id("label"), "labels"), did{"pia", "submit", id("label"), false}, 201)
 		do("pia", post, "/v1/jobs/"+id("roast")+"/withdraw", struct{}{}, did{"pia", "cancel", id("roast"), true}, 403)
 		do("potter", get, "/v1/jobs/"+id("fire"), nil, did{"potter", "read", id("fire"), true}, 404)
 		do("nobody", get, "/v1/jobs/"+id("fire"), nil, did{"", "GET", "/v1/jobs/" + id("fire"), true}, 401)
--- a/controller_test.go
+++ b/controller_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -29,12 +28,11 @@
 // freePort is an address on loopback that nobody listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	a, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // serve runs a controller against a state service until the test ends, and waits until it is healthy.
@@ -101,12 +99,8 @@
 		return s, strings.TrimPrefix(srv.URL, "http://")
 	}
 	s, addr := state()
-	types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
 	const jobs = 400
-	s.Fill([]wire.Item{{Key: core.Root + "types", Value: types}})
+	s.Types(wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}})
 	for i := range jobs {
 		s.Fill([]wire.Item{{Key: fmt.Sprintf("%sjob/wk-%03d", core.Root, i), Value: json.RawMessage(fmt.Sprintf(`{"h":1,"st":"d","d":[0,%d]}`, i))}})
 	}
@@ -159,32 +153,6 @@
 	}
 }
 
-// people are stand-in users of a cooperative and a roastery, each with a key.
-func people(t *testing.T) (*access.Policy, map[string]*access.Private) {
-	t.Helper()
-	roles := map[string]string{"anna": "technician", "potter": "visitor", "pia": "packer", "portal": "portal", "root": "admin"}
-	text := `
-		roles { name: "technician" grants { verbs: submit verbs: read verbs: cancel teams: "t" classes: "firing" } }
-		roles { name: "visitor" grants { verbs: submit verbs: read teams: "t" classes: "plan" } }
-		roles { name: "packer" grants { verbs: submit verbs: read verbs: cancel teams: "t" classes: "labels" } grants { verbs: read teams: "t" classes: "reroast" } }
-		roles { name: "portal" grants { verbs: submit verbs: cancel verbs: read teams: "t" classes: "reroast" } }
-		roles { name: "admin" grants { verbs: administer } }`
-	keys := map[string]*access.Private{}
-	for name, role := range roles {
-		k, err := access.NewKey(name, name+"-1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		keys[name] = k
-		text += fmt.Sprintf("identities { name: %q roles: %q keys { id: %q ed25519: %q } }", name, role, k.ID, k.Public())
-	}
-	p, err := access.Parse([]byte(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return p, keys
-}
-
 // A glaze technician, a visiting potter, a packer who may not cancel a reroast, and a service, over sockets: each
 // may do what their role says, and nothing else; a revocation holds at once, also at another controller.
 func TestPeopleMayDoWhatTheirRolesSay(t *testing.T) {
@@ -192,12 +160,11 @@
 	t.Cleanup(srv.Close)
 	state := strings.TrimPrefix(srv.URL, "http://")
 	s := srv.Config.Handler.(*standin.State)
-	types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}}}})
+	s.Types(wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}})
+	rights, keys, err := standin.People()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Fill([]wire.Item{{Key: core.Root + "types", Value: types}})
-	rights, keys := people(t)
 	server := serve(t, state, rights)
 	ask := func(who, method, path string, body any) int {
 		t.Helper()
@@ -216,24 +183,20 @@
 		}
 		return 0
 	}
-	job := func(id, class string) map[string]any {
-		return map[string]any{"uid": id, "ware": class, "crew": "t", "form": "batch", "heat": "standard", "pieces": 1, "cpus": 1, "cards": 0, "ram_gb": 1,
-			"mould": "i", "image_gb": 1, "one_zone": false, "spread": false, "borrowed": true, "firing_s": 10, "glaze_s": 0, "cool_s": 0}
-	}
 	get, post := http.MethodGet, http.MethodPost
 	for _, x := range []struct {
 		who, method, path string
 		body              any
 		want              int
 	}{
-		{"anna", post, "/v1/jobs", job("wk-1", "firing"), 201},
-		{"anna", post, "/v1/jobs", job("wk-1", "firing"), 200},
-		{"potter", post, "/v1/jobs", job("wk-2", "plan"), 201},
-		{"potter", post, "/v1/jobs", job("wk-3", "firing"), 403},
+		{"anna", post, "/v1/jobs", standin.Job("wk-1", "firing"), 201},
+		{"anna", post, "/v1/jobs", standin.Job("wk-1", "firing"), 200},
+		{"potter", post, "/v1/jobs", standin.Job("wk-2", "plan"), 201},
+		{"potter", post, "/v1/jobs", standin.Job("wk-3", "firing"), 403},
 		{"potter", post, "/v1/jobs/wk-2/withdraw", struct{}{}, 403}, // may read it, not cancel it
 		{"potter", get, "/v1/jobs/wk-1", nil, 404},                  // is not told that it exists
-		{"portal", post, "/v1/jobs", job("wk-4", "reroast"), 201},
-		{"pia", post, "/v1/jobs", job("wk-5", "labels"), 201},
+		{"portal", post, "/v1/jobs", standin.Job("wk-4", "reroast"), 201},
+		{"pia", post, "/v1/jobs", standin.Job("wk-5", "labels"), 201},
 		{"pia", get, "/v1/jobs/wk-4", nil, 200},
 		{"pia", post, "/v1/jobs/wk-4/withdraw", struct{}{}, 403},
 		{"pia", post, "/v1/jobs/wk-5/withdraw", struct{}{}, 200},
@@ -241,13 +204,13 @@
 		{"portal", get, "/v1/jobs/wk-4", nil, 200}, // is over, and its readers' rights hold still
 		{"anna", get, "/v1/jobs/wk-4", nil, 404},
 		{"nobody", get, "/v1/jobs/wk-1", nil, 401},
-		{"nobody", post, "/v1/jobs", job("wk-6", "plan"), 401},
+		{"nobody", post, "/v1/jobs", standin.Job("wk-6", "plan"), 401},
 		{"pia", get, "/v1/access", nil, 403},
 		{"pia", get, "/v1/site", nil, 403},
 		{"root", get, "/v1/access", nil, 200},
 		{"root", get, "/v1/site", nil, 200},
 		{"root", post, "/v1/access/potter", wire.RightsEdit{RevokeRoles: []string{"visitor"}}, 200},
-		{"potter", post, "/v1/jobs", job("wk-7", "plan"), 403},
+		{"potter", post, "/v1/jobs", standin.Job("wk-7", "plan"), 403},
 		{"potter", get, "/v1/jobs/wk-2", nil, 404},
 		{"root", post, "/v1/access/pia", wire.RightsEdit{Delete: true}, 200},
 	} {
--- a/internal/measure/guards/main.go
+++ b/internal/measure/guards/main.go
@@ -137,14 +137,11 @@
 	return o
 }
 
-func state() (*standin.State, error) {
+func state() *standin.State {
 	s := standin.NewState(standin.Limits{ValueBytes: 8192, Ops: 24, PageItems: 1000, PageKB: 512})
-	types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 32, MemoryGB: 128, Price: 1, Zones: []string{"a"}}}})
-	if err != nil {
-		return nil, err
-	}
-	s.Fill([]wire.Item{{Key: core.Root + "types", Value: types}, {Key: core.Root + "form/n0", Value: json.RawMessage(fmt.Sprint(core.Form))}})
-	return s, nil
+	s.Types(wire.MachineType{Name: "x", CPUs: 32, MemoryGB: 128, Price: 1, Zones: []string{"a"}})
+	s.Fill([]wire.Item{{Key: core.Root + "form/n0", Value: json.RawMessage(fmt.Sprint(core.Form))}})
+	return s
 }
 
 const clients = 8
@@ -152,10 +149,7 @@
 // round starts a controller and measures acceptances and polls; with a flood, polls alone, at the controller's share
 // of a core, without and with bad credentials coming in as fast as they are answered.
 func (k *keys) round(bin, kind string, n int, flood bool) (costs []*Cost, err error) {
-	s, err := state()
-	if err != nil {
-		return nil, err
-	}
+	s := state()
 	x, err := process.Start(bin, s, k.options(kind))
 	if err != nil {
 		return nil, err
@@ -166,8 +160,7 @@
 	}
 	time.Sleep(2 * time.Second) // until it holds its shards
 	post := func(i int) (string, string, any) {
-		return http.MethodPost, wire.PathJobs, map[string]any{"uid": fmt.Sprintf("wk-%06d", i), "ware": "c", "crew": "t", "form": "batch", "heat": "standard", "pieces": 1, "cpus": 1, "cards": 0,
-			"ram_gb": 1, "mould": "i", "image_gb": 1, "one_zone": false, "spread": false, "borrowed": true, "firing_s": 10, "glaze_s": 0, "cool_s": 0}
+		return http.MethodPost, wire.PathJobs, standin.Job(fmt.Sprintf("wk-%06d", i), "c")
 	}
 	get := func(i int) (string, string, any) {
 		return http.MethodGet, fmt.Sprintf("%s/wk-%06d", wire.PathJobs, i), nil
@@ -325,10 +318,7 @@
 
 // long reads and verifies a long record through a controller, at the limits of the users' state service.
 func (k *keys) long(bin string, entries int) (reads []*Read, err error) {
-	s, err := state()
-	if err != nil {
-		return nil, err
-	}
+	s := state()
 	key, err := audit.ParseKey(k.audit)
 	if err != nil {
 		return nil, err
--- a/internal/measure/history/main.go
+++ b/internal/measure/history/main.go
@@ -151,15 +151,11 @@
 
 // fill puts a site's keys into the stand-in: what a controller needs to serve, live jobs and ended ones.
 func fill(s *standin.State, entries []archive.Entry, archived bool) error {
-	types, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 32, MemoryGB: 128, Price: 1, Zones: []string{"a"}}}})
-	if err != nil {
-		return err
-	}
+	s.Types(wire.MachineType{Name: "x", CPUs: 32, MemoryGB: 128, Price: 1, Zones: []string{"a"}})
 	var items []wire.Item
 	add := func(key, value string) {
 		items = append(items, wire.Item{Key: key, Value: json.RawMessage(value)})
 	}
-	add(core.Root+"types", string(types))
 	add(core.Root+"form/n0", fmt.Sprint(core.Form))
 	for i := range liveJobs {
 		add(fmt.Sprintf("%sjob/wk-live-%04d", core.Root, i), `{"h":1,"s":{"cl":"c","tm":"t","pr":2,"n":4,"rc":[4000,0,8000],"im":"img"},"at":1700000000000}`)
--- a/internal/measure/history/report.go
+++ b/internal/measure/history/report.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"encoding/base64"
 	"fmt"
 	"html/template"
 	"image/color"
@@ -14,6 +12,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"dewlift/internal/chart"
 	"dewlift/internal/measure/process"
 )
 
@@ -34,8 +33,8 @@
 them beyond the deletion of its record. {{.Blocks}} blocks, {{printf "%.1f" .BytesPerJob}} bytes a job; peak memory {{printf "%.0f" .PeakMB}} MB. Asked for jobs all along: {{.Wrong}} of {{.Polls}} answers wrong.</p>{{end}}
 `))
 
-// chart draws a value of the starts against the number of ended jobs.
-func chart(title, unit string, starts []*Figure, rps, limit float64, of func(*Figure) float64) (template.URL, error) {
+// draw draws a value of the starts against the number of ended jobs.
+func draw(title, unit string, starts []*Figure, rps, limit float64, of func(*Figure) float64) (template.URL, error) {
 	p := plot.New()
 	p.Title.Text, p.Title.Padding = title, vg.Points(10)
 	p.X.Label.Text, p.Y.Label.Text = "ended jobs", unit
@@ -75,15 +74,7 @@
 		p.Legend.Add(fmt.Sprintf("aim: %v", limit), line)
 	}
 	p.Legend.Top, p.Legend.Left = true, true
-	w, err := p.WriterTo(8*vg.Inch, 4*vg.Inch, "png")
-	if err != nil {
-		return "", err
-	}
-	var b bytes.Buffer
-	if _, err := w.WriteTo(&b); err != nil {
-		return "", err
-	}
-	return template.URL("data:image/png;base64," + base64.StdEncoding.EncodeToString(b.Bytes())), nil
+	return chart.Embed(p)
 }
 
 // report writes the HTML page, which needs nothing beside itself.
@@ -101,7 +92,7 @@
 			of          func(*Figure) float64
 		}{{"Peak memory", "MB", 120, func(f *Figure) float64 { return f.PeakMB }},
 			{"Time to healthy, at its share of a core", "s", 60, func(f *Figure) float64 { return f.ShareS }}} {
-			u, err := chart(fmt.Sprintf("%s, %v requests a second", c.title, f.RPS), c.unit, starts, f.RPS, c.limit, c.of)
+			u, err := draw(fmt.Sprintf("%s, %v requests a second", c.title, f.RPS), c.unit, starts, f.RPS, c.limit, c.of)
 			if err != nil {
 				return err
 			}
--- a/internal/measure/process/process.go
+++ b/internal/measure/process/process.go
@@ -56,12 +56,7 @@
 	go func() { _ = x.srv.Serve(ln) }()
 	ports := make([]string, 3)
 	for i := range ports { // free ones; the cloud's has nobody behind it
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = l.Addr().String()
-		if err := l.Close(); err != nil {
+		if ports[i], err = standin.FreeAddr(); err != nil {
 			return nil, err
 		}
 	}
