Serve on listeners that are held: a port let go between two calls was another test's

The mesh and the edge for users now serve on a listener that they are given; Run opens both before anything is started, so a taken port ends the process at once with its name. The tests of the controller and of the commands hold their ports likewise.

--- a/api/api.go
+++ b/api/api.go
@@ -247,12 +247,8 @@
 	return app
 }
 
-// Run serves on addr until the context ends.
-func (s *Server) Run(ctx context.Context, addr string) error {
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", addr)
-	if err != nil {
-		return fmt.Errorf("api: %w", err)
-	}
+// Serve answers on a listener until the context ends. It closes the listener.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	if s.tls != nil {
 		ln = tls.NewListener(ln, s.tls)
 	}
--- a/cmd/dewlift/audit_test.go
+++ b/cmd/dewlift/audit_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 
 	"log/slog"
 	"math/rand/v2"
@@ -68,20 +69,22 @@
 
 func (s *cooperative) file(name string) string { return filepath.Join(s.dir, name) }
 
-func freePort(t *testing.T) string {
+// listen holds a free address on loopback.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	a, err := standin.FreeAddr()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return a
+	return ln
 }
 
 // start runs the controller against a state service until stop is called, and waits until it is healthy.
 func (s *cooperative) start(state string) {
 	s.t.Helper()
-	p := &settings.Platform{Name: "n0", Zone: "a", Listen: freePort(s.t), MeshAddr: freePort(s.t)}
-	p.Services.State, p.Services.Cloud = state, freePort(s.t)
+	users, peers := listen(s.t), listen(s.t)
+	p := &settings.Platform{Name: "n0", Zone: "a", Listen: users.Addr().String(), MeshAddr: peers.Addr().String()}
+	p.Services.State, p.Services.Cloud = state, "127.0.0.1:1" // no cloud
 	k := &p.Cluster
 	k.Teams = []settings.Team{{Name: "t"}}
 	k.Workers.ReportS, k.Workers.LeaseS, k.Workers.CancelS, k.TimeBoundMS = 3, 30, 60, 500
@@ -91,7 +94,7 @@
 	ctx, cancel := context.WithCancel(s.t.Context())
 	ended := make(chan error, 1)
 	c := dewlift.New(p, tuning, s.guards, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	go func() { ended <- c.Run(ctx) }()
+	go func() { ended <- c.Serve(ctx, users, peers) }()
 	s.platform = p
 	s.stop = func() {
 		cancel()
--- a/controller.go
+++ b/controller.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -187,14 +190,28 @@
 	return wire.Site{State: c.p.Services.State, RPS: s.RPS, WriteRPS: s.WriteRPS, TxnOps: s.TxnOps}
 }
 
-// Run runs the controller until the context ends or a listener fails.
+// Run runs the controller on the addresses of its platform until the context ends or a listener fails.
 func (c *Controller) Run(ctx context.Context) error {
+	users, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", c.p.Listen)
+	if err != nil {
+		return fmt.Errorf("users and workers: %w", err)
+	}
+	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.p.MeshAddr)
+	if err != nil {
+		return errors.Join(fmt.Errorf("mesh: %w", err), users.Close())
+	}
+	return c.Serve(ctx, users, peers)
+}
+
+// Serve runs the controller on two listeners, one for users and workers and one for the other controllers, until the context
+// ends or one of them fails. It closes them.
+func (c *Controller) Serve(ctx context.Context, users, peers net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make(chan error, 2)
-	go func() { errs <- c.api.Run(ctx, c.p.Listen) }()
+	go func() { errs <- c.api.Serve(ctx, users) }()
 	go func() {
-		errs <- c.mesh.Run(ctx, c.p.MeshAddr, func(peer string, m core.Msg) { c.Put(core.FromPeer{Peer: peer, Msg: m}) })
+		errs <- c.mesh.Serve(ctx, peers, func(peer string, m core.Msg) { c.Put(core.FromPeer{Peer: peer, Msg: m}) })
 	}()
 	c.log.Info("controller started", "node", c.p.Name, "zone", c.p.Zone)
 	return c.loop(ctx, errs)
--- a/controller_test.go
+++ b/controller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -25,21 +26,22 @@
 	"dewlift/wire"
 )
 
-// freePort is an address on loopback that nobody listens on.
-func freePort(t *testing.T) string {
+// listen holds a free address on loopback.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	a, err := standin.FreeAddr()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return a
+	return ln
 }
 
 // serve runs a controller against a state service until the test ends, and waits until it is healthy.
 func serve(t *testing.T, state string, rights *access.Policy) string {
 	t.Helper()
-	p := &settings.Platform{Name: "n0", Zone: "a", Listen: freePort(t), MeshAddr: freePort(t)}
-	p.Services.State, p.Services.Cloud = state, freePort(t)
+	users, peers := listen(t), listen(t)
+	p := &settings.Platform{Name: "n0", Zone: "a", Listen: users.Addr().String(), MeshAddr: peers.Addr().String()}
+	p.Services.State, p.Services.Cloud = state, "127.0.0.1:1" // no cloud
 	k := &p.Cluster
 	k.Teams = []settings.Team{{Name: "t"}}
 	k.Workers.ReportS, k.Workers.LeaseS, k.Workers.CancelS = 3, 30, 60
@@ -49,7 +51,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	c := New(p, tuning, Guards{Rights: rights}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	go func() { ended <- c.Run(ctx) }()
+	go func() { ended <- c.Serve(ctx, users, peers) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-ended; !errors.Is(err, context.Canceled) {
--- a/internal/measure/process/process.go
+++ b/internal/measure/process/process.go
@@ -45,6 +45,15 @@
 	began time.Time
 }
 
+// freeAddr is an address on loopback that nobody listens on: a process of its own can't be handed a listener.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 // Start starts a controller.
 func Start(bin string, s *standin.State, o Options) (*Site, error) {
 	x := &Site{State: s, done: make(chan error, 1)}
@@ -56,7 +65,7 @@
 	go func() { _ = x.srv.Serve(ln) }()
 	ports := make([]string, 3)
 	for i := range ports { // free ones; the cloud's has nobody behind it
-		if ports[i], err = standin.FreeAddr(); err != nil {
+		if ports[i], err = freeAddr(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 
 	"dewlift/access"
 	"dewlift/core"
@@ -25,15 +24,6 @@
 		"mould": "i", "image_gb": 1, "one_zone": false, "spread": false, "borrowed": true, "firing_s": 10, "glaze_s": 0, "cool_s": 0}
 }
 
-// FreeAddr is an address on loopback that nobody listens on.
-func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // People are the users of a cooperative and a roastery, each with a key: a glaze technician, a visiting potter, a packer
 // who may reprint labels and not cancel a reroast, a service, and who administers.
 func People() (*access.Policy, map[string]*access.Private, error) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// Run listens on addr and keeps the streams up until the context ends.
-func (m *Mesh) Run(ctx context.Context, addr string, h Handler) error {
+// Serve takes the others' streams from a listener and keeps its own up until the context ends. It closes the listener.
+func (m *Mesh) Serve(ctx context.Context, ln net.Listener, h Handler) error {
 	var protos http.Protocols
 	protos.SetHTTP2(true)
 	protos.SetUnencryptedHTTP2(m.tls.MeshServer() == nil)
@@ -82,10 +82,6 @@
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) { m.serve(w, r, h) })
 	srv := &http.Server{Handler: mux, Protocols: &protos, ReadHeaderTimeout: 5 * time.Second, TLSConfig: m.tls.MeshServer(),
 		ErrorLog: slog.NewLogLogger(m.log.Handler(), slog.LevelDebug)}
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
-	if err != nil {
-		return fmt.Errorf("mesh: %w", err)
-	}
 	for _, l := range m.peers {
 		go m.keep(ctx, l)
 	}
@@ -93,6 +89,7 @@
 		<-ctx.Done()
 		_ = srv.Close() // the process is ending
 	}()
+	var err error
 	if srv.TLSConfig != nil {
 		err = srv.ServeTLS(ln, "", "")
 	} else {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -113,10 +113,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			addr := ln.Addr().String()
-			if err := ln.Close(); err != nil {
-				t.Fatal(err)
-			}
+			addr := ln.Addr().String() // held from here on: a port that is let go and taken again may be another test's by then
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			heard := make(chan string, 100)
 			to, from := New("n1", map[string]string{"n0": "127.0.0.1:1"}, x.receiver, log), New("n0", map[string]string{"n1": addr}, x.sender, log)
@@ -124,7 +121,7 @@
 			ended.Add(2)
 			go func() {
 				defer ended.Done()
-				if err := to.Run(ctx, addr, func(peer string, m core.Msg) { heard <- peer + m.Want[0] }); err != nil && ctx.Err() == nil {
+				if err := to.Serve(ctx, ln, func(peer string, m core.Msg) { heard <- peer + m.Want[0] }); err != nil && ctx.Err() == nil {
 					t.Error(err)
 				}
 			}()
