New room is taken in turns: controllers with waiting work filled the same machines

Each refusal is an order, a report, a write and another placement, when changes are what everything waits for. Rows were right: new room shows to all controllers with the same push, and while more work waits than there is room, each fills all of it within 50 ms.

Change: among the controllers with a lease, each machine has an order; the first has room that has just come free to itself until it has looked for room, the others follow one by one.

--- a/ccs/ccs.go
+++ b/ccs/ccs.go
@@ -32,9 +32,16 @@
 	Last    bool // offered after all others: the leader would like the machine to empty
 	Offered bool // false: the machine is about to be returned
 
-	rev uint64 // of the array, when it changed last
+	rev   uint64        // of the array, when it changed last
+	since time.Duration // of a copy, when room was seen to come free last
 }
 
+// Since is when a copy was last seen to gain room.
+func (r *Row) Since() time.Duration { return r.since }
+
+// more reports whether there is room in v that is not in w.
+func (v Vec) more(w Vec) bool { return v[0] > w[0] || v[1] > w[1] || v[2] > w[2] }
+
 // FreeShare is the smallest free share over CPU, GPU and memory.
 func (r *Row) FreeShare() float64 {
 	share := 1.0
@@ -153,26 +160,46 @@
 	have   bool
 }
 
-// Replace takes a newly pushed whole array.
-func (c *Copy) Replace(now time.Duration, rows []Row) {
+// Replace takes a newly pushed whole array, and tuples that it does not count yet.
+func (c *Copy) Replace(now time.Duration, rows []Row, pending []Delta) {
+	old := c.rows
 	c.rows = make(map[int32]*Row, len(rows))
 	c.order = c.order[:0]
-	c.Update(now, rows)
+	c.take(now, old, rows, pending)
 }
 
-// Update takes the rows of an array that changed since the last push; the others are as the
-// tuples since then left them.
-func (c *Copy) Update(now time.Duration, rows []Row) {
+// Update takes the rows of an array that changed since the last push, and tuples that it does not count yet; the
+// other rows are as the tuples since then left them.
+func (c *Copy) Update(now time.Duration, rows []Row, pending []Delta) {
 	if c.rows == nil {
 		c.rows = map[int32]*Row{}
 	}
-	for _, r := range rows {
+	c.take(now, c.rows, rows, pending)
+}
+
+func (c *Copy) take(now time.Duration, was map[int32]*Row, rows []Row, pending []Delta) {
+	c.at, c.have = now, true
+	before := make([]*Row, len(rows)) // as they were
+	fresh := make(map[int32]*Row, len(rows))
+	for i := range rows {
+		r := rows[i]
+		before[i] = was[r.Machine]
 		if c.rows[r.Machine] == nil {
 			c.order = append(c.order, r.Machine)
 		}
-		c.rows[r.Machine] = &r
+		c.rows[r.Machine], fresh[r.Machine] = &r, &r
+	}
+	for _, d := range pending {
+		if r := fresh[d.Machine]; r != nil {
+			r.apply(d)
+		}
+	}
+	for i, old := range before {
+		r := fresh[rows[i].Machine]
+		if r.since = now; old != nil && (old.Offered || !r.Offered) && !r.Avail.more(old.Avail) {
+			r.since = old.since
+		}
 	}
-	c.at, c.have = now, true
 }
 
 // Drop forgets a machine that is gone.
@@ -190,9 +217,12 @@
 func (c *Copy) Valid(now time.Duration) bool { return c.have && now-c.at < c.Expire }
 
 // Apply takes a start or finish of this controller on its own copy.
-func (c *Copy) Apply(d Delta) {
+func (c *Copy) Apply(now time.Duration, d Delta) {
 	if r := c.rows[d.Machine]; r != nil {
 		r.apply(d)
+		if !d.Start {
+			r.since = now
+		}
 	}
 }
 
--- a/ccs/ccs_test.go
+++ b/ccs/ccs_test.go
@@ -8,7 +8,7 @@
 
 func copyOf(rows ...Row) *Copy {
 	c := &Copy{Expire: 30 * time.Second}
-	c.Replace(0, rows)
+	c.Replace(0, rows, nil)
 	return c
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -117,6 +117,8 @@
 	hot      bool // in the list of machines that may need orders
 	probed   time.Duration
 	images   map[string]bool
+	ranked   uint64 // as of which controllers, by c.around, rank holds
+	rank     int    // of this controller among those that may use it, see Core.turn
 	lead     leadMachine
 }
 
@@ -226,6 +228,7 @@
 	shards  []held
 	leader  held
 	nodes   map[string]held
+	around  uint64 // counts how often nodes changed
 
 	hist      history // see history.go
 	rights    rights  // see rights.go
@@ -289,7 +292,8 @@
 	sweepAt   time.Duration
 	lookAllAt time.Duration
 	drainAt   time.Duration
-	room      bool // room may have become free
+	room      bool          // room may have become free
+	turnAt    time.Duration // when room is to be looked at that was another's to take first; 0: there is none
 	askAt     time.Duration
 
 	catalog   map[string]*wire.MachineType
@@ -723,6 +727,7 @@
 		}
 		c.leader = held{since: c.now}
 		c.nodes = map[string]held{}
+		c.around++
 		c.hist.cold, c.hist.marker = 0, 0
 		c.rights = rights{who: map[string]storedIdentity{}}
 		c.hist.index.Clear()
@@ -805,6 +810,7 @@
 		}
 		h.mark = mark
 		c.nodes[key[len(keyNode):]] = h
+		c.around++
 	case strings.HasPrefix(key, keyShard):
 		var h held
 		n := c.shardNum(key)
@@ -878,6 +884,7 @@
 		c.leader = held{since: c.now}
 	case strings.HasPrefix(key, keyNode):
 		delete(c.nodes, key[len(keyNode):])
+		c.around++
 	case strings.HasPrefix(key, keyShard):
 		if n := c.shardNum(key); n >= 0 {
 			c.shards[n] = held{since: c.now}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -255,6 +255,9 @@
 // machines. It returns what went to other controllers.
 func drive(c *Core, from, to time.Duration) (msgs []Msg, orders []Orders) {
 	ledger := uint64(100)
+	for _, j := range c.jobs {
+		ledger = max(ledger, j.mark)
+	}
 	for now := from; now < to; now += 50 * time.Millisecond {
 		for _, o := range c.Advance(now) {
 			switch o := o.(type) {
--- a/core/peers.go
+++ b/core/peers.go
@@ -268,7 +268,6 @@
 	}
 	c.copyTok, c.copyRev, c.copyAcks = p.Token, p.Rev, p.Acks
 	rows := make([]ccs.Row, 0, len(p.Rows))
-	fresh := make(map[int32]bool, len(p.Rows))
 	for _, r := range p.Rows {
 		m := c.machine(r.Machine)
 		if m.gone {
@@ -277,37 +276,38 @@
 		if m.typ == "" {
 			m.typ, m.zone, m.spot = r.Type, r.Zone, r.Spot
 		}
-		fresh[m.idx] = true
 		rows = append(rows, ccs.Row{Machine: m.idx, Avail: r.Avail, Occ: r.Occ, Keep: r.Keep, Last: r.Last, Offered: !r.Closed})
 	}
-	if whole {
-		c.copy.Replace(c.now, rows)
-	} else {
-		c.copy.Update(c.now, rows)
-	}
-	again := func(ds []DeltaMsg) {
-		for _, d := range ds {
-			if m := c.machine(d.Machine); fresh[m.idx] {
-				c.copy.Apply(ccs.Delta{Start: d.Start, Machine: m.idx, Claim: d.Claim})
-			}
-		}
-	}
+	var pending []ccs.Delta
 	for _, from := range sortedKeys(c.batches) {
 		// A new leader seeds from reports instead.
 		c.batches[from] = slices.DeleteFunc(c.batches[from], func(b deltaBatch) bool {
 			return b.token != p.Token || b.seq <= p.Acks[from]
 		})
 		for _, b := range c.batches[from] {
-			again(b.deltas)
+			pending = c.tuples(pending, b.deltas)
 		}
 	}
-	again(c.deltas)
+	pending = c.tuples(pending, c.deltas)
+	if whole {
+		c.copy.Replace(c.now, rows, pending)
+	} else {
+		c.copy.Update(c.now, rows, pending)
+	}
 	c.room = true
 }
 
+// tuples appends tuples by the indices of their machines.
+func (c *Core) tuples(list []ccs.Delta, ds []DeltaMsg) []ccs.Delta {
+	for _, d := range ds {
+		list = append(list, ccs.Delta{Start: d.Start, Machine: c.machine(d.Machine).idx, Claim: d.Claim})
+	}
+	return list
+}
+
 // reapply takes the tuples of another controller on the copy.
 func (c *Core) reapply(ds []DeltaMsg) {
-	for _, d := range ds {
-		c.copy.Apply(ccs.Delta{Start: d.Start, Machine: c.machine(d.Machine).idx, Claim: d.Claim})
+	for _, d := range c.tuples(nil, ds) {
+		c.copy.Apply(c.now, d)
 	}
 }
--- a/core/place.go
+++ b/core/place.go
@@ -170,7 +170,7 @@
 	m := c.machines[a.Machine]
 	c.deltas = append(c.deltas, DeltaMsg{Start: start, Machine: m.name, Claim: claim})
 	if !start {
-		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: claim})
+		c.copy.Apply(c.now, ccs.Delta{Machine: a.Machine, Claim: claim})
 		c.room = true
 	}
 }
@@ -241,12 +241,13 @@
 			inflight++
 		}
 	}
+	if c.turnAt != 0 && c.now >= c.turnAt {
+		c.turnAt, c.room = 0, true
+	}
 	if c.room && c.now >= c.placeAt {
 		c.room = false
 		c.noRoom = c.noRoom[:0]
-		// Tasks of a job that find room one by one would take a write each, and its team's key
-		// another: where changes are few, they gather.
-		c.placeAt = c.now + max(200*time.Millisecond, time.Duration(2/(0.5*c.budget.WriteRate)*float64(time.Second)))
+		c.placeAt = c.now + c.lookGap()
 		for _, j := range c.open {
 			if j.pending && c.mine(j) {
 				c.touch(j)
@@ -528,7 +529,7 @@
 func (c *Core) undo(p *proposal) {
 	c.recorder().Unsent(p.ids)
 	for _, a := range p.started {
-		c.copy.Apply(ccs.Delta{Machine: a.Machine, Claim: p.spec.Claim})
+		c.copy.Apply(c.now, ccs.Delta{Machine: a.Machine, Claim: p.spec.Claim})
 	}
 }
 
@@ -773,6 +774,34 @@
 	})
 }
 
+// turn is how long room on a machine, that has just come free, is still left to others. All controllers see it with the same
+// push, and while more work waits than there is room, each would fill it: half of all starts found the machine full.
+// So the first in the machine's rendezvous order has it to itself for a moment, and the others follow one by one.
+func (c *Core) turn(machine int32) time.Duration {
+	r, m := c.copy.Row(machine), c.machines[machine]
+	if r == nil || !c.copy.Valid(c.now) || c.now-r.Since() > time.Second {
+		return 0
+	}
+	if m.ranked != c.around+1 {
+		m.ranked, m.rank = c.around+1, c.rank(m.name, c.live())
+	}
+	if m.rank == 0 {
+		return 0
+	}
+	return max(0, r.Since()+c.courtesy()+time.Duration(m.rank-1)*2*c.cfg.DeltaEvery-c.now)
+}
+
+// courtesy is how long a controller has new room to itself: until it looks for room again, and the others know what it took.
+func (c *Core) courtesy() time.Duration {
+	return min(c.lookGap(), 400*time.Millisecond) + 2*c.cfg.DeltaEvery
+}
+
+// lookGap is the time between two looks at all waiting jobs. Tasks of a job that find room one by one would take
+// a write each, and its team's key another: where changes are few, they gather.
+func (c *Core) lookGap() time.Duration {
+	return max(200*time.Millisecond, time.Duration(2/(0.5*c.budget.WriteRate)*float64(time.Second)))
+}
+
 const lockedAgain = 20 * time.Millisecond // until a team's state is looked at again
 
 // assign chooses machines for a job's waiting tasks by the design: 2t candidates from the
@@ -854,8 +883,23 @@
 		}
 		return t
 	}
+	early := false // some room is another's to take first
+	allow := ask.Allow
+	ask.Allow = func(i int32) bool {
+		switch wait := c.turn(i); {
+		case wait > 0 && allow(i):
+			early = true
+			return false
+		case wait > 0:
+			return false
+		}
+		return allow(i)
+	}
 	cands := c.copy.Candidates(c.now, ask, c.rng)
-	if len(cands) == 0 && !held && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
+	if early && len(cands) < len(tasks) {
+		c.turnAt = c.now + c.courtesy()
+	}
+	if len(cands) == 0 && !early && !held && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
 		c.noRoom = append(c.noRoom, noRoom{s.Claim, s.Spot})
 	}
 	cap := (s.Tasks + 1) / 2
@@ -889,7 +933,7 @@
 			p.place = append(p.place, a)
 			p.started = append(p.started, a)
 			zones[m.zone]++
-			c.copy.Apply(ccs.Delta{Start: true, Machine: mi, Claim: s.Claim})
+			c.copy.Apply(c.now, ccs.Delta{Start: true, Machine: mi, Claim: s.Claim})
 			progress = true
 		}
 		if !progress {
--- /dev/null
+++ b/core/turn_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dewlift/ccs"
+	"dewlift/wire"
+)
+
+// While more work waited than there was room, every controller filled each new machine, and half of all starts were refused.
+// Each is to fill those where it comes first, and the others' after a moment.
+func TestNewRoomIsTakenInTurns(t *testing.T) {
+	const machines, perMachine = 40, 4
+	first := map[string]int{}
+	for _, name := range []string{"n0", "n1", "n2"} {
+		c := serving(t)
+		c.cfg.Name = name
+		for _, n := range []string{"n0", "n1", "n2"} {
+			c.put(keyNode+n, []byte(`{"t":7}`), 8)
+		}
+		for i := range c.shards {
+			c.shards[i].Node = name
+		}
+		push := &Push{Rev: 1, Token: 1}
+		for i := range machines {
+			r := &wire.Report{Machine: fmt.Sprintf("m-%d", i), Addr: "x:1", Type: "x", Zone: "a", Session: 1, Seq: 1, Token: 1}
+			c.Handle(time.Second, Seen{Machine: r.Machine, Report: r})
+			push.Rows = append(push.Rows, PushRow{Machine: r.Machine, Type: "x", Zone: "a", Avail: ccs.Vec{4000, 0, 8000}})
+		}
+		in := submitted("wk-1")
+		in.Spec.Tasks = 2 * machines * perMachine
+		c.Handle(time.Second, in)
+		c.pushed(push)
+		drive(c, time.Second, 1050*time.Millisecond)
+		own := map[string]int{}
+		for _, a := range c.job("wk-1").place {
+			own[c.machines[a.Machine].name]++
+		}
+		for m, n := range own {
+			first[m]++
+			if n != perMachine {
+				t.Errorf("%s: %d tasks on %s, there is room for %d", name, n, m, perMachine)
+			}
+		}
+		drive(c, 1050*time.Millisecond, 3*time.Second)
+		if got := len(c.job("wk-1").place); got != machines*perMachine {
+			t.Errorf("%s: %d tasks placed in the end, there is room for %d", name, got, machines*perMachine)
+		}
+	}
+	for m, n := range first {
+		if n != 1 {
+			t.Errorf("%s was filled at once by %d", m, n)
+		}
+	}
+	if len(first) != machines {
+		t.Errorf("%d of %d machines were filled at once", len(first), machines)
+	}
+}
