Past its size it no longer collapses: tasks counted once, and what a lost zone takes is bounded

- Rows were seeded anew once a machine was quiet for a while, from records and reports that under load came later than that.
- Controllers chose the same machines between two pushes: of machines that are as good, each now takes first those where it is first itself, and waits with new room as long as news take by what was measured of late.
- Every controller asked every machine of a lost zone for its report once a second, and each request held a socket until its timeout.
Requests on their way are bounded (package sockets divides what there is), the unanswered are asked less and less, and machines that probably hang have a quarter of the orders on their way.
- A zone of which nothing is heard while its hundreds of machines should report every few milliseconds is known to be cut off after 1.5 s, where single machines took 8 to 10: no new tasks go there, and room is sought elsewhere after 3 s.
Nor do any go to a machine that has not answered and was not heard of since.
- place() ordered thousands of jobs at every turn although nothing could be written; the search for tasks that make room sorted each machine's tasks for each need.

--- a/ccs/ccs.go
+++ b/ccs/ccs.go
@@ -79,7 +79,7 @@
 // NewArray returns an empty array.
 func NewArray() *Array { return &Array{rows: map[int32]*Row{}} }
 
-// Seed sets a machine's whole and occupied room from its registration or report.
+// Seed sets a machine's whole and occupied room.
 func (a *Array) Seed(machine int32, room, occ Vec, offered bool) {
 	r := a.rows[machine]
 	if r == nil {
@@ -123,13 +123,6 @@
 	}
 }
 
-// Apply updates the array by one tuple; tuples for unknown machines are dropped.
-func (a *Array) Apply(d Delta) {
-	if r := a.rows[d.Machine]; r != nil {
-		a.set(r, func(r *Row) { r.apply(d) })
-	}
-}
-
 func (r *Row) apply(d Delta) {
 	k := int64(1)
 	if !d.Start {
@@ -235,6 +228,7 @@
 	Claim  Vec              // room of one task
 	Allow  func(int32) bool // machines that the job may use
 	Tier   func(int32) int  // smaller tiers are taken first; nil: one tier
+	Far    func(int32) int  // of a tier, those less far are taken first; nil: all are as far
 	Others []int32          // machines known besides the copy, for random choice
 	Keep   bool             // leave the kept room alone
 	Fill   bool             // fill up with machines that seem full
@@ -257,6 +251,7 @@
 	type ranked struct {
 		machine int32
 		tier    int
+		far     int
 		share   float64
 		dice    uint32 // equal machines come in random order, so that controllers do not all favour the same one
 	}
@@ -276,13 +271,16 @@
 		if ask.Tier != nil {
 			k.tier = ask.Tier(m)
 		}
+		if ask.Far != nil {
+			k.far = ask.Far(m)
+		}
 		if r.Last {
 			k.tier += lastTier
 		}
 		fits = append(fits, k)
 	}
 	slices.SortFunc(fits, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(x.tier, y.tier), cmp.Compare(y.share, x.share), cmp.Compare(x.dice, y.dice))
+		return cmp.Or(cmp.Compare(x.tier, y.tier), cmp.Compare(x.far, y.far), cmp.Compare(y.share, x.share), cmp.Compare(x.dice, y.dice))
 	})
 	fits = fits[:min(len(fits), ask.N)]
 	out := make([]int32, 0, len(fits))
--- a/ccs/ccs_test.go
+++ b/ccs/ccs_test.go
@@ -54,17 +54,3 @@
 		t.Fatalf("random choice never took all machines: %v", seen)
 	}
 }
-
-func TestArrayFollowsTuples(t *testing.T) {
-	a := NewArray()
-	a.Seed(7, Vec{8000, 0, 32000}, Vec{2000, 0, 1000}, true)
-	a.Apply(Delta{Start: true, Machine: 7, Claim: Vec{4000, 0, 8000}})
-	a.Apply(Delta{Machine: 7, Claim: Vec{2000, 0, 1000}})
-	a.Apply(Delta{Start: true, Machine: 9, Claim: Vec{1, 1, 1}})
-	if r := a.Row(7); r.Avail != (Vec{4000, 0, 24000}) || r.Occ != (Vec{4000, 0, 8000}) {
-		t.Fatalf("row is %+v", *r)
-	}
-	if a.Row(9) != nil {
-		t.Fatal("a tuple made a machine up")
-	}
-}
--- a/controller.go
+++ b/controller.go
@@ -21,6 +21,7 @@
 	pb "dewlift/proto"
 	"dewlift/secure"
 	"dewlift/settings"
+	"dewlift/sockets"
 	"dewlift/statestore"
 	"dewlift/wire"
 )
@@ -59,7 +60,7 @@
 // New assembles a controller.
 func New(p *settings.Platform, t *pb.Tuning, g Guards, log *slog.Logger) *Controller {
 	c := &Controller{log: log, p: p, inputs: make(chan core.Input, queueLen), started: time.Now(),
-		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(idleConns(p.Cluster.Quota.FDLimit)), figures: newFigures()}
+		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(sockets.Of(p.Cluster.Quota.FDLimit).Idle), figures: newFigures()}
 	cfg := coreConfig(p, t)
 	cfg.Access, cfg.AuditKey, cfg.Settings = g.Rights, g.Audit, settings.Recorded(p, t)
 	c.core = core.New(cfg, 0, rand.Uint64())
@@ -72,12 +73,9 @@
 	return c
 }
 
-// idleConns is how many connections to workers are kept: a quarter of the sockets, as users and
-// reporting workers need theirs.
-func idleConns(sockets int) int { return max(64, sockets/4) }
-
 func coreConfig(p *settings.Platform, t *pb.Tuning) core.Config {
 	k := &p.Cluster
+	parts := sockets.Of(k.Quota.FDLimit)
 	ms := func(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
 	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 	now, next := &k.State, &k.State.Next
@@ -98,6 +96,8 @@
 		CancelIn:     sec(k.Workers.CancelS),
 		AuditForget:  lateMost,
 		TimeBoundMS:  uint32(k.TimeBoundMS),
+		OrdersMost:   parts.Orders,
+		ProbesMost:   parts.Probes,
 
 		// Of the operators: `dewlift settings` tells what they do.
 		Lease:        ms(t.GetLeaseMs()),
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make(chan error, 2)
-	go func() { errs <- c.api.Serve(ctx, users) }()
+	go func() { errs <- c.api.Serve(ctx, sockets.Listen(users, sockets.Of(c.p.Cluster.Quota.FDLimit))) }()
 	go func() {
 		errs <- c.mesh.Serve(ctx, peers, func(peer string, m core.Msg) { c.Put(core.FromPeer{Peer: peer, Msg: m}) })
 	}()
--- a/core/core.go
+++ b/core/core.go
@@ -90,6 +90,8 @@
 	heard   time.Duration
 	changed time.Duration // when its report or its assignments changed last
 	shown   time.Duration // when it was asked for its report last
+	asked   int           // how often it was, since it was heard of
+	missed  time.Duration // when orders to it stayed without an answer last
 	noticed time.Duration // when the notice runs out; 0: none
 	digest  uint64        // of what it reported last
 	pieces  map[attKey]piece
@@ -118,7 +120,7 @@
 	probed   time.Duration
 	images   map[string]bool
 	ranked   uint64 // as of which controllers, by c.around, rank holds
-	rank     int    // of this controller among those that may use it, see Core.turn
+	rank     int    // of this controller among those that may use it, see Core.order
 	lead     leadMachine
 }
 
@@ -214,6 +216,8 @@
 	open       []*job     // those not over
 	alive      []*machine // those not known to be gone
 	hot        []*machine // those that may need orders
+	probing    int        // requests for reports on their way
+	zones      map[string]*zoneNews
 	teamIdx    map[string]int
 	teams      []*team
 	links      *links.Links
@@ -286,6 +290,7 @@
 	deltas    []DeltaMsg
 	batches   map[string][]deltaBatch // of each controller, not yet counted by the leader
 	batchSeq  uint64
+	ackTime   time.Duration // how long it takes of late until a push shows that a batch was counted
 	deltaAt   time.Duration
 	healthAt  time.Duration
 	placeAt   time.Duration
@@ -339,7 +344,8 @@
 
 type deltaBatch struct {
 	seq    uint64
-	token  uint64 // of the leader it was sent to
+	sent   time.Duration // by this controller
+	token  uint64        // of the leader it was sent to
 	deltas []DeltaMsg
 }
 
@@ -348,7 +354,7 @@
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, started: now,
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, links: links.New(cfg.Peers, cfg.LinkLost),
 		shards: make([]held, cfg.Shards), nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
-		wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
+		zones: map[string]*zoneNews{}, wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
 		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}}
 	c.audit = c.newRecorder()
 	c.copy.Expire = cfg.CopyExpire
@@ -496,6 +502,7 @@
 	case Beat:
 		c.beat(in)
 	case Seen:
+		c.probing = max(0, c.probing-1)
 		if in.Report != nil && in.Report.Machine == in.Machine {
 			c.observe(in.Report, true)
 		}
@@ -567,6 +574,7 @@
 		return over
 	})
 	c.alive = slices.DeleteFunc(c.alive, func(m *machine) bool { return m.gone && len(m.asg) == 0 })
+	c.countZones()
 	c.prune()
 	c.countHistory()
 	// Only what changed is looked at otherwise; now and then everything is, as a safeguard against
@@ -1112,7 +1120,8 @@
 // signOfLife notes that a machine gave a sign of life with these numbers. A higher token
 // settles what became of earlier orders.
 func (c *Core) signOfLife(m *machine, seq, token uint64) {
-	m.heard, m.seq = c.now, seq
+	m.heard, m.seq, m.asked = c.now, seq, 0
+	c.zoneOf(m.zone).heard = c.now
 	if token > m.token {
 		m.token = token
 		m.changed = c.now
@@ -1157,8 +1166,6 @@
 // judge draws conclusions about a machine from the end of a task there.
 func (m *machine) judge(j *job, cause string) {
 	switch cause {
-	case wire.CauseFull:
-		m.lead.wrong = true
 	case wire.CauseDone:
 		m.failed = nil
 	case wire.CauseError:
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -17,7 +17,7 @@
 	return Config{Form: Form, Name: "n0", Peers: []string{"n1", "n2"}, Teams: []Team{{Name: "t"}}, Lease: 4 * time.Second, Shards: 4,
 		StateRPS: 100, WriteRPS: 100, WriteShare: 0.6, ValueBytes: 8192, TxnOps: 12, CloudRPS: 4, ReportEvery: 3 * time.Second,
 		WorkerLease: 20 * time.Second, CancelIn: 40 * time.Second, DeltaEvery: 50 * time.Millisecond, PushEvery: 200 * time.Millisecond,
-		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
+		CopyExpire: 10 * time.Second, ProbeRatio: 2, Silent: 2 * time.Second, BootPatience: 3, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second, OrdersMost: 400, ProbesMost: 100,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
 		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35,
 		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second,
@@ -452,15 +452,18 @@
 	}
 }
 
-// A wrong row led to refusals, and these are changes at the machine: it was never quiet enough
-// to be seeded again.
-func TestRefusalHasTheRowSeededAgain(t *testing.T) {
+// A wrong row led to refusals, and these are changes at the machine: it was never quiet enough to be worked out anew.
+func TestWrongTupleIsForgottenAmidRefusals(t *testing.T) {
 	c := leading(t)
 	drive(c, time.Second, 6*time.Second)
 	m := c.machine("m-1")
-	c.lead.array.Apply(ccs.Delta{Machine: m.idx, Claim: ccs.Vec{2000, 0, 2000}})
+	c.lead.take(c, "n1", &Deltas{Seq: 1, List: []DeltaMsg{{Machine: "m-1", Claim: ccs.Vec{2000, 0, 2000}}}})
+	drive(c, 6*time.Second, 6500*time.Millisecond)
+	if r := c.lead.array.Row(m.idx); r.Avail[0] != 6000 {
+		t.Errorf("the row shows %v free after the tuple", r.Avail[0])
+	}
 	seq := uint64(10)
-	for now := 6 * time.Second; now < 12*time.Second; now += time.Second {
+	for now := 6500 * time.Millisecond; now < 12*time.Second; now += time.Second {
 		seq++
 		c.Handle(now, Beat{Req: seq, Report: report(seq, wire.Piece{Piece: "wk-1/0", Try: seq, Stage: wire.TaskExited, Cause: wire.CauseFull})})
 		drive(c, now, now+time.Second)
--- a/core/lead.go
+++ b/core/lead.go
@@ -2,27 +2,30 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/account"
 	"dewlift/core/ledger"
 	"dewlift/wire"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // leadMachine is what the leader keeps about a machine.
 type leadMachine struct {
-	seeded    bool
-	seededAt  time.Duration
-	wrong     bool // a start was refused although the row showed room
-	lastDelta time.Duration
-	rented    time.Duration // when it was rented, by our clock; 0: not known
-	emptyAt   time.Duration // since when it has had no task; 0: it has some
-	cordon    time.Duration // since when it is being returned as idle; 0: it is not
-	closed    bool          // offered last: the rest of the machines has room enough
-	keep      ccs.Vec       // room kept for work that may not use spot machines
-	why       string        // why it must be returned; "": it need not
-	cut       bool          // it is quiet with most of its zone: others are to take its work over
+	account account.Account
+	told    time.Duration // when a tuple of it came last
+	counted time.Duration // when its row was worked out last; 0: it has none
+	rented  time.Duration // when it was rented, by our clock; 0: not known
+	emptyAt time.Duration // since when it has had no task; 0: it has some
+	cordon  time.Duration // since when it is being returned as idle; 0: it is not
+	closed  bool          // offered last: the rest of the machines has room enough
+	keep    ccs.Vec       // room kept for work that may not use spot machines
+	why     string        // why it must be returned; "": it need not
+	cut     bool          // it is quiet with most of its zone: others are to take its work over
 }
 
 type rental struct {
@@ -168,13 +171,12 @@
 
 const goneKept = 2000 // machines whose end is told with every whole array
 
-// leadSaw seeds a machine's row from its report.
+// leadSaw gives a machine a row at its first report.
 func (c *Core) leadSaw(m *machine) {
-	if c.lead == nil || m.gone || !m.up || m.lead.seeded || c.catalog == nil {
+	if c.lead == nil || m.gone || !m.up || m.lead.counted != 0 || c.catalog == nil {
 		return
 	}
-	if c.seed(m) {
-		m.lead.seeded = true
+	if c.count(m) {
 		c.lead.pushNow = c.lead.pushNow || c.cfg.PushEvery < 3*time.Second
 	}
 }
@@ -211,15 +213,38 @@
 	return occ
 }
 
-func (c *Core) seed(m *machine) bool {
+// count works out a machine's row.
+func (c *Core) count(m *machine) bool {
 	t := c.catalog[m.typ]
 	if t == nil {
 		return false
 	}
-	c.lead.array.Seed(m.idx, t.Room(), c.occupied(m), c.offered(m))
+	seen := make([]account.Seen, 0, len(m.asg))
+	for k, a := range m.asg {
+		if s := c.jobs[k.job].rec.Spec; s != nil {
+			seen = append(seen, account.Seen{Key: taskHash(c.jobs[k.job].id, k.task, a.Try), Claim: s.Claim})
+		}
+	}
+	for k, p := range m.pieces {
+		if a, ok := m.asg[taskKey{k.job, k.task}]; ok && a.Try == k.try || p.state == wire.TaskExited {
+			continue
+		}
+		if r := c.jobs[k.job].rec; r != nil && r.Spec != nil {
+			seen = append(seen, account.Seen{Key: taskHash(c.jobs[k.job].id, k.task, k.try), Claim: r.Spec.Claim})
+		}
+	}
+	c.lead.array.Seed(m.idx, t.Room(), m.lead.account.Taken(c.now, seen), c.offered(m))
+	m.lead.counted = max(1, c.now)
 	return true
 }
 
+// taskHash names an attempt in tuples.
+func taskHash(job string, task int32, try uint64) uint64 {
+	raw := append(make([]byte, 0, 64), job...)
+	raw = binary.LittleEndian.AppendUint32(raw, uint32(task))
+	return max(1, xxhash.Sum64(binary.LittleEndian.AppendUint64(raw, try)))
+}
+
 func (c *Core) offered(m *machine) bool {
 	return m.lead.cordon == 0 && m.lead.why == "" && m.noticed == 0 && !m.returning
 }
@@ -232,8 +257,8 @@
 	l.acks[from] = d.Seq
 	for _, t := range d.List {
 		m := c.machine(t.Machine)
-		m.lead.lastDelta = c.now
-		l.array.Apply(ccs.Delta{Start: t.Start, Machine: m.idx, Claim: t.Claim})
+		m.lead.told = c.now
+		m.lead.account.Take(c.now, t.Start, t.Key, t.Claim)
 	}
 }
 
@@ -246,19 +271,9 @@
 		if m.gone || !m.up {
 			continue
 		}
-		// Tuples can be lost: a row is seeded again once all is quiet about its machine. A seed
-		// between a report or a record and the tuple of the same start or finish counts it twice.
-		// A refusal shows that the row is wrong: then a short quiet must do, or refusals, which
-		// are changes themselves, would keep it wrong for ever.
-		quiet := 2 * time.Second
-		if m.lead.wrong {
-			quiet = 300 * time.Millisecond
-		}
-		last := max(m.lead.lastDelta, m.changed)
-		if !m.lead.seeded || last >= m.lead.seededAt && c.now-last > 2*c.cfg.DeltaEvery+quiet {
-			m.lead.wrong = false
-			m.lead.seeded = c.seed(m)
-			m.lead.seededAt = c.now
+		// Tuples can be lost: a row with open ones is worked out again now and then.
+		if last := max(m.lead.told, m.changed); last >= m.lead.counted || m.lead.account.Open() && c.now-m.lead.counted > time.Second {
+			c.count(m)
 		}
 		l.array.Offer(m.idx, c.offered(m), m.lead.closed, m.lead.keep)
 	}
@@ -425,7 +440,7 @@
 	// If most are silent at once, it is rather this controller that does not hear.
 	deaf := all.silent*2 > all.up && all.silent > 1
 	for zone, n := range zones {
-		if deaf || n.silent*2 <= n.up || n.silent < 3 {
+		if !c.quiet(zone, quietForRoom) && (deaf || n.silent*2 <= n.up || n.silent < 3) {
 			delete(zones, zone)
 			continue
 		}
@@ -444,7 +459,7 @@
 		if m.up && quiet > c.reportDue() {
 			others = append(others, m.name)
 		}
-		m.lead.cut = m.up && zones[m.zone] != nil && quiet > c.reportDue()
+		m.lead.cut = m.up && (zones[m.zone] != nil && quiet > c.reportDue() || c.quiet(m.zone, quietForRoom))
 		switch {
 		case !m.up:
 			boot := cmp.Or(c.boot(m.typ), 30*time.Second)
@@ -502,12 +517,16 @@
 func (c *Core) silent() time.Duration { return c.reportDue() + c.cfg.Silent }
 
 // probe asks a machine for its report when none has come, directly or from others: while the
-// controllers can't reach each other, it is the only news of tasks that report elsewhere.
+// controllers can't reach each other, it is the only news of tasks that report elsewhere. One that does not answer
+// is asked less and less often, and few are asked at a time: every controller asked every machine of a lost zone once a second,
+// and each question held a socket until its timeout. Machines that answer make room for the next at once.
 func (c *Core) probe(m *machine) {
-	if c.now-m.heard > c.reportDue() && c.now-m.shown > time.Second && m.up {
-		m.shown = c.now
-		c.emit(Probe{Machine: m.name, Addr: m.addr})
+	if c.probing >= c.cfg.ProbesMost || !m.up || c.now-m.heard <= c.reportDue() || m.asked > 0 && c.now-m.shown <= time.Second<<min(m.asked-1, 4) {
+		return
 	}
+	m.shown, m.asked = c.now, m.asked+1
+	c.probing++
+	c.emit(Probe{Machine: m.name, Addr: m.addr})
 }
 
 // returnSome returns what must be returned, once at a time and again until it is confirmed.
--- a/core/orders.go
+++ b/core/orders.go
@@ -14,6 +14,14 @@
 	if !c.leaseOK() && !c.outage() {
 		return
 	}
+	// Requests are sockets, and those to machines that do not answer hold theirs for seconds: in a lost zone that are
+	// all machines at once. So they are bounded, and those that probably hang have a part for themselves.
+	hanging := 0
+	for _, s := range c.sends {
+		if c.strained(c.machines[s.machine]) {
+			hanging++
+		}
+	}
 	// Only machines where something changed or is not settled yet are looked at.
 	c.hot = slices.DeleteFunc(c.hot, func(m *machine) bool {
 		if m.gone || !m.up {
@@ -23,15 +31,25 @@
 		if m.send != 0 || c.now < m.nextSend || !m.touched && c.now < m.probed+c.cfg.OrderAgain {
 			return false
 		}
+		strained := c.strained(m)
+		if len(c.sends) >= c.cfg.OrdersMost || strained && hanging >= c.cfg.OrdersMost/4 {
+			return false // another's turn
+		}
 		m.touched = false
 		m.probed = c.now
 		c.Stats.Looks++
 		open := c.orderMachine(m)
+		if strained && m.send != 0 {
+			hanging++
+		}
 		m.hot = open || m.send != 0
 		return !m.hot
 	})
 }
 
+// strained reports whether orders to a machine will probably stay without an answer.
+func (c *Core) strained(m *machine) bool { return m.misses > 0 || c.now-m.heard > c.reportDue() }
+
 func (c *Core) attempt(m *machine, k attKey) *attempt {
 	a := m.att[k]
 	if a == nil {
@@ -218,6 +236,8 @@
 	m.misses++
 	if in.Status != 0 {
 		m.misses = 0
+	} else if in.Sent {
+		m.missed = c.now
 	}
 	answered := in.Status == 200 || in.Status == 409 || !in.Sent
 	for _, k := range m.sendKeys {
--- a/core/peers.go
+++ b/core/peers.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.batchSeq++
-	c.keepBatch(c.cfg.Name, deltaBatch{c.batchSeq, c.leader.Token, c.deltas})
+	c.keepBatch(c.cfg.Name, deltaBatch{c.batchSeq, c.now, c.leader.Token, c.deltas})
 	d := &Deltas{Seq: c.batchSeq, List: c.deltas}
 	c.deltas = nil
 	if c.lead != nil {
@@ -184,7 +184,7 @@
 		// A push may have counted it already: it came by another way. Counted twice, an end would
 		// show room on a full machine until the row changes.
 		if m.Deltas.Seq > c.copyAcks[in.Peer] || c.copyTok != c.leader.Token {
-			c.keepBatch(in.Peer, deltaBatch{m.Deltas.Seq, c.leader.Token, m.Deltas.List})
+			c.keepBatch(in.Peer, deltaBatch{m.Deltas.Seq, 0, c.leader.Token, m.Deltas.List})
 			c.reapply(m.Deltas.List)
 			c.room = true
 		}
@@ -282,6 +282,9 @@
 	for _, from := range sortedKeys(c.batches) {
 		// A new leader seeds from reports instead.
 		c.batches[from] = slices.DeleteFunc(c.batches[from], func(b deltaBatch) bool {
+			if from == c.cfg.Name && b.token == p.Token && b.seq <= p.Acks[from] {
+				c.ackTime += (c.now - b.sent - c.ackTime) / 8
+			}
 			return b.token != p.Token || b.seq <= p.Acks[from]
 		})
 		for _, b := range c.batches[from] {
--- a/core/place.go
+++ b/core/place.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		for _, a := range p.started {
-			c.delta(false, a, p.spec.Claim)
+			c.delta(false, j, a, p.spec.Claim)
 		}
 		c.touch(j)
 		if j.accept != nil {
@@ -166,9 +166,9 @@
 // delta notes a start or finish for the leader; the own copy already shows starts. A start is
 // noted when its write is sent: the sooner the others know, the fewer choose the same room. If
 // the write fails, an end follows.
-func (c *Core) delta(start bool, a ledger.Asg, claim ccs.Vec) {
+func (c *Core) delta(start bool, j *job, a ledger.Asg, claim ccs.Vec) {
 	m := c.machines[a.Machine]
-	c.deltas = append(c.deltas, DeltaMsg{Start: start, Machine: m.name, Claim: claim})
+	c.deltas = append(c.deltas, DeltaMsg{Start: start, Machine: m.name, Claim: claim, Key: taskHash(j.id, a.Task, a.Try)})
 	if !start {
 		c.copy.Apply(c.now, ccs.Delta{Machine: a.Machine, Claim: claim})
 		c.room = true
@@ -181,7 +181,7 @@
 	t := c.attempt(c.machines[a.Machine], attKey{j.idx, a.Task, a.Try})
 	if !t.freed && c.mine(j) && j.rec != nil && j.rec.Spec != nil {
 		t.freed = true
-		c.delta(false, a, j.rec.Spec.Claim)
+		c.delta(false, j, a, j.rec.Spec.Claim)
 	}
 }
 
@@ -242,7 +242,7 @@
 		}
 	}
 	if c.turnAt != 0 && c.now >= c.turnAt {
-		c.turnAt, c.room = 0, true
+		c.turnAt, c.placeAt, c.room = 0, c.now, true
 	}
 	if c.room && c.now >= c.placeAt {
 		c.room = false
@@ -282,6 +282,9 @@
 	if paused || inflight >= most || !c.leaseOK() || len(todo) == 0 || c.budget.Reads < reads {
 		return
 	}
+	if most == 3 && c.budget.Writes < 1+writesKept {
+		return // nothing could be written: with thousands of jobs to look at, that is not worth finding out
+	}
 	// A team's key is one more change for each transaction. Where changes are few and many jobs
 	// wait, they are placed together.
 	many := 0
@@ -542,7 +545,7 @@
 	}
 	for _, p := range b.props {
 		for _, a := range p.started {
-			b.c.delta(true, a, p.spec.Claim)
+			b.c.delta(true, p.j, a, p.spec.Claim)
 		}
 	}
 	b.c.commit(b.t, &txn{props: b.props, teams: b.teams})
@@ -751,7 +754,7 @@
 // usable reports whether new tasks may go to a machine now.
 func (c *Core) usable(m *machine) bool {
 	return m.up && !m.gone && !m.returning && !m.faulty() && m.noticed == 0 && m.session > 0 && m.addr != "" &&
-		c.now >= m.refused && c.now-m.heard < c.cfg.ReportEvery*2
+		c.now >= m.refused && c.now-m.heard < c.cfg.ReportEvery*2 && (m.missed == 0 || m.heard > m.missed) && !c.quiet(m.zone, quietForWork)
 }
 
 func (c *Core) allowed(s *wire.Spec, m *machine) bool {
@@ -779,21 +782,31 @@
 // So the first in the machine's rendezvous order has it to itself for a moment, and the others follow one by one.
 func (c *Core) turn(machine int32) time.Duration {
 	r, m := c.copy.Row(machine), c.machines[machine]
-	if r == nil || !c.copy.Valid(c.now) || c.now-r.Since() > time.Second {
+	if r == nil || !c.copy.Valid(c.now) {
+		return 0
+	}
+	rank := c.order(m)
+	if rank == 0 {
 		return 0
 	}
+	return max(0, r.Since()+c.courtesy()+time.Duration(rank-1)*c.newsTake()-c.now)
+}
+
+// order is the place of this controller among those that use a machine. Of machines that are as good, a job's tasks go to those
+// where it is the first: between two pushes, controllers that choose at the same moment would all choose the same.
+func (c *Core) order(m *machine) int {
 	if m.ranked != c.around+1 {
 		m.ranked, m.rank = c.around+1, c.rank(m.name, c.live())
 	}
-	if m.rank == 0 {
-		return 0
-	}
-	return max(0, r.Since()+c.courtesy()+time.Duration(m.rank-1)*2*c.cfg.DeltaEvery-c.now)
+	return m.rank
 }
 
 // courtesy is how long a controller has new room to itself: until it looks for room again, and the others know what it took.
-func (c *Core) courtesy() time.Duration {
-	return min(c.lookGap(), 400*time.Millisecond) + 2*c.cfg.DeltaEvery
+func (c *Core) courtesy() time.Duration { return min(c.lookGap(), 400*time.Millisecond) + c.newsTake() }
+
+// newsTake is how long it takes until the others know of a start: a batch's time, or what it takes of late, if that is more.
+func (c *Core) newsTake() time.Duration {
+	return min(max(2*c.cfg.DeltaEvery, c.ackTime/2), 2*time.Second)
 }
 
 // lookGap is the time between two looks at all waiting jobs. Tasks of a job that find room one by one would take
@@ -864,6 +877,7 @@
 			}
 		}
 	}
+	ask.Far = func(i int32) int { return c.order(c.machines[i]) }
 	est := time.Duration(s.EstimateMS) * time.Millisecond
 	ask.Tier = func(i int32) int {
 		m, t := c.machines[i], 0
@@ -883,23 +897,23 @@
 		}
 		return t
 	}
-	early := false // some room is another's to take first
+	var early time.Duration // until the first room that is another's to take now; 0: there is none
 	allow := ask.Allow
 	ask.Allow = func(i int32) bool {
 		switch wait := c.turn(i); {
-		case wait > 0 && allow(i):
-			early = true
-			return false
 		case wait > 0:
+			if allow(i) && (early == 0 || wait < early) {
+				early = wait
+			}
 			return false
 		}
 		return allow(i)
 	}
 	cands := c.copy.Candidates(c.now, ask, c.rng)
-	if early && len(cands) < len(tasks) {
-		c.turnAt = c.now + c.courtesy()
+	if at := c.now + early; early > 0 && len(cands) < ask.N && (c.turnAt == 0 || at < c.turnAt) {
+		c.turnAt = at
 	}
-	if len(cands) == 0 && !early && !held && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
+	if len(cands) == 0 && early == 0 && !held && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
 		c.noRoom = append(c.noRoom, noRoom{s.Claim, s.Spot})
 	}
 	cap := (s.Tasks + 1) / 2
--- a/core/plan.go
+++ b/core/plan.go
@@ -61,6 +61,8 @@
 	step    time.Duration // that, in steps of the setting
 	free    float64
 	stopped []asg2 // tasks that were told to make room
+	movable []asg2 // see Core.movable; nil: not worked out
+	below   int    // for which priority it was
 	busy    bool   // it has tasks
 	used    bool   // a need was put into it
 }
@@ -564,7 +566,7 @@
 	}
 	var places []place
 	for _, b := range bins {
-		if b.m == nil || !b.m.up || !c.usable(b.m) || !c.allowed(n.spec, b.m) {
+		if b.m == nil || !b.m.up || n.spec.Spread && room(b.pool.zone) <= 0 || !c.usable(b.m) || !c.allowed(n.spec, b.m) {
 			continue
 		}
 		if vs, cost, ok := c.victims(n, b); ok {
@@ -586,6 +588,7 @@
 			b.avail = b.avail.Add(c.jobs[v.job].rec.Spec.Claim, 1)
 			b.stopped = append(b.stopped, v)
 		}
+		b.movable = nil
 		for made < n.n && b.avail.Fits(n.spec.Claim) && room(b.pool.zone) > 0 {
 			b.avail = b.avail.Add(n.spec.Claim, -1)
 			b.keep = b.keep.Add(n.spec.Claim, 1)
@@ -604,29 +607,44 @@
 
 // victims chooses the tasks of a machine that must go for one task of a need.
 func (c *Core) victims(n need, b *bin) (vs []asg2, cost time.Duration, ok bool) {
-	var all []asg2
-	ran := func(v asg2) time.Duration { return c.now - b.m.pieces[attKey{v.job, v.Task, v.Try}].since }
-	for _, v := range b.m.sortedTasks() {
-		s := c.jobs[v.job].rec.Spec
-		p, there := b.m.pieces[attKey{v.job, v.Task, v.Try}]
-		if s != nil && there && !s.Service && s.Priority > n.spec.Priority && !slices.Contains(b.stopped, v) &&
-			(p.state == wire.TaskRunning || p.state == wire.TaskFetching) {
-			all = append(all, v)
-		}
-	}
-	slices.SortStableFunc(all, func(x, y asg2) int { return cmp.Compare(ran(x), ran(y)) })
 	free := b.avail
-	for _, v := range all {
+	all := c.movable(b, n.spec.Priority)
+	for i, v := range all {
 		if free.Fits(n.spec.Claim) {
 			break
 		}
 		free = free.Add(c.jobs[v.job].rec.Spec.Claim, 1)
-		cost += ran(v)
-		vs = append(vs, v)
+		cost += c.ran(b.m, v)
+		vs = all[:i+1]
 	}
 	return vs, cost, len(vs) > 0 && free.Fits(n.spec.Claim)
 }
 
+// movable lists the tasks of a machine that may be stopped for a priority, those that have run least first. It is worked
+// out once a plan: hundreds of replicas that find no room look at all machines.
+func (c *Core) movable(b *bin, below int) []asg2 {
+	if b.movable != nil && b.below == below {
+		return b.movable
+	}
+	all := []asg2{}
+	for _, v := range b.m.sortedTasks() {
+		s := c.jobs[v.job].rec.Spec
+		p, there := b.m.pieces[attKey{v.job, v.Task, v.Try}]
+		if s != nil && there && !s.Service && s.Priority > below && !slices.Contains(b.stopped, v) &&
+			(p.state == wire.TaskRunning || p.state == wire.TaskFetching) {
+			all = append(all, v)
+		}
+	}
+	slices.SortStableFunc(all, func(x, y asg2) int { return cmp.Compare(c.ran(b.m, x), c.ran(b.m, y)) })
+	b.movable, b.below = all, below
+	return all
+}
+
+// ran is how long a task has been in its state.
+func (c *Core) ran(m *machine, v asg2) time.Duration {
+	return c.now - m.pieces[attKey{v.job, v.Task, v.Try}].since
+}
+
 // choosePool is the cheapest kind of machine for the rest of a need, by price per task that
 // it takes, with regard to its boot time; among equals the zone with fewest machines.
 func (c *Core) choosePool(s *wire.Spec, n need, room func(string) int64, h *shelf) (pool, bool) {
--- a/core/types.go
+++ b/core/types.go
@@ -61,6 +61,8 @@
 	WholePush    time.Duration
 	PushGap      time.Duration
 	OrderAgain   time.Duration
+	OrdersMost   int // requests with orders on their way
+	ProbesMost   int // and for reports
 	ClearWait    time.Duration
 	PassTime     time.Duration
 	LinkLost     time.Duration
@@ -374,6 +376,7 @@
 	Start   bool    `json:"st,omitempty"`
 	Machine string  `json:"m"`
 	Claim   ccs.Vec `json:"c"`
+	Key     uint64  `json:"k,omitempty"` // of the attempt; the version before does not tell it
 }
 
 // Push is the leader's array: all of it from time to time, and in between the rows that
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -164,7 +164,7 @@
 		TxnOps: 12, CloudRPS: 4, ListLag: 3 * time.Second, ReportEvery: reportEvery, WorkerLease: workerLease,
 		CancelIn: cancelIn, DeltaEvery: 500 * time.Millisecond, PushEvery: time.Second, CopyExpire: 10 * time.Second,
 		ProbeRatio: 2, PreferImage: true, PreferSpot: true, SpareShare: 0.2, Idle: 5 * time.Second, Silent: 4 * time.Second,
-		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second,
+		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second, OrdersMost: 400, ProbesMost: 100,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
 		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35,
 		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second}
