--- a/controller.go
+++ b/controller.go
@@ -209,19 +209,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make(chan error, 2)
-	go func() { errs <- c.api.Serve(ctx, sockets.Listen(users, sockets.Of(c.p.Cluster.Quota.FDLimit))) }()
+	in := sockets.Listen(users, sockets.Of(c.p.Cluster.Quota.FDLimit))
+	go func() { errs <- c.api.Serve(ctx, in) }()
 	go func() {
 		errs <- c.mesh.Serve(ctx, peers, func(peer string, m core.Msg) { c.Put(core.FromPeer{Peer: peer, Msg: m}) })
 	}()
 	c.log.Info("controller started", "node", c.p.Name, "zone", c.p.Zone)
-	return c.loop(ctx, errs)
+	return c.loop(ctx, in, errs)
 }
 
 // loop is the one place that touches the core.
-func (c *Controller) loop(ctx context.Context, errs <-chan error) error {
+func (c *Controller) loop(ctx context.Context, users *sockets.Listener, errs <-chan error) error {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	clock := time.Duration(-1)
+	clock, last := time.Duration(-1), time.Since(c.started)
+	var strain core.Strain
 	report := 10 * time.Second
 	for {
 		var first core.Input
@@ -237,9 +239,17 @@
 		case <-t.C:
 		}
 		now := time.Since(c.started)
+		// Whatever comes in, there is a turn at every tick: the time beyond it was spent on the turn before, or the processor
+		// was not to be had.
+		strain.Late = max(strain.Late, now-last-tick)
+		strain.Queue = max(strain.Queue, float64(len(c.inputs))/queueLen)
+		last = now
 		if clock < 0 || now-clock > time.Second {
 			clock = now
 			c.core.Handle(now, core.Clock{UnixMS: time.Now().UnixMilli()})
+			strain.Sockets = users.Used()
+			c.core.Handle(now, strain)
+			strain = core.Strain{}
 			if items := c.api.Refused(); len(items) > 0 {
 				c.core.Handle(now, core.Refused{Items: items})
 			}
--- a/core/core.go
+++ b/core/core.go
@@ -16,6 +16,7 @@
 	"dewlift/core/ledger"
 	"dewlift/core/links"
 	"dewlift/core/recorder"
+	"dewlift/overload"
 	"dewlift/wire"
 )
 
@@ -277,13 +278,17 @@
 	budget budget.Budget
 	settle time.Duration // how long ends may wait to share a write
 
+	load    overload.State
+	waiters int // jobs that waited to be looked at for a write, at the last look
+
 	copy      ccs.Copy
 	copyRev   uint64 // revision and leader of the last push taken
 	copyTok   uint64
 	copyAcks  map[string]uint64 // what it had counted
 	resendAt  time.Duration
-	hold      *Hold    // as the leader told with the last push
-	noRoom    []noRoom // claims that found no room since some became free
+	hold      *Hold         // as the leader told with the last push
+	noRoom    []noRoom      // claims that found no room since some became free
+	heardAt   time.Duration // when the others are told next of machines that report nothing new
 	reports   []*wire.Report
 	heardOf   []Heard
 	wanted    map[string][]string // by controller: machines whose reports it has and this one lacks
@@ -525,6 +530,8 @@
 		c.scanned(in)
 	case FromPeer:
 		c.fromPeer(in)
+	case Strain:
+		c.strain(in)
 	case Clock:
 		c.unix = in.UnixMS - c.now.Milliseconds()
 	}
@@ -579,7 +586,7 @@
 	c.countHistory()
 	// Only what changed is looked at otherwise; now and then everything is, as a safeguard against
 	// a change that nobody noted.
-	if c.loaded && c.now >= c.lookAllAt {
+	if c.loaded && c.now >= c.lookAllAt && (c.load.Level() == overload.Calm || c.now >= c.lookAllAt+c.cfg.LookAll) {
 		c.lookAllAt = c.now + c.cfg.LookAll
 		for _, j := range c.open {
 			c.touchLater(j)
--- a/core/lead.go
+++ b/core/lead.go
@@ -155,7 +155,7 @@
 		return
 	}
 	if c.now >= l.planAt {
-		l.planAt = c.now + 500*time.Millisecond
+		l.planAt = c.now + c.planGap()
 		c.getList()
 		c.watchMachines()
 		if l.listed && c.now-l.since > 2*time.Second {
--- a/core/peers.go
+++ b/core/peers.go
@@ -73,12 +73,19 @@
 	c.tell("", Msg{Deltas: d})
 }
 
+const heardBatch = 4 // batches of tuples from one of reports that say nothing new to the next: a machine is given up after seconds
+
 // sendReports tells the others what machines reported to this controller. Reports that say
 // nothing new, most of them in a large fleet, go as a line each.
 func (c *Core) sendReports() {
-	if len(c.reports)+len(c.heardOf) > 0 {
-		c.tell("", Msg{Reports: c.reports, Heard: c.heardOf})
-		c.reports, c.heardOf = nil, nil
+	var heard []Heard
+	if c.now >= c.heardAt {
+		c.heardAt = c.now + c.eased(heardBatch*c.cfg.DeltaEvery)
+		heard, c.heardOf = c.heardOf, nil
+	}
+	if len(c.reports)+len(heard) > 0 {
+		c.tell("", Msg{Reports: c.reports, Heard: heard})
+		c.reports = nil
 	}
 	for _, peer := range sortedKeys(c.wanted) {
 		c.tell(peer, Msg{Want: c.wanted[peer]})
--- a/core/place.go
+++ b/core/place.go
@@ -257,10 +257,10 @@
 	var todo []*job
 	for _, j := range c.open {
 		if j.accept != nil && !j.inflight && c.now >= j.accept.until {
-			c.settleAccept(j, 503, "too busy")
+			c.settleAccept(j, 503, tooBusy)
 		}
 		if len(j.cancels) > 0 && !j.inflight && c.now >= j.cancelBy {
-			c.failCancels(j, "too busy")
+			c.failCancels(j, tooBusy)
 		}
 		if !j.dirty || j.inflight || j.resync || c.now < j.lookAt {
 			continue
@@ -274,6 +274,7 @@
 		}
 		todo = append(todo, j)
 	}
+	c.waiters = len(todo)
 	// What users wait for goes out sooner: a full budget or slow answers hold it back less.
 	paused, most, reads := c.budget.Paused(c.now), 3, 1.0
 	if slices.ContainsFunc(todo, func(j *job) bool { return c.urgency(j) <= urgentAccept }) {
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -9,6 +9,7 @@
 
 	"dewlift/archive"
 	"dewlift/core/ledger"
+	"dewlift/overload"
 	"dewlift/wire"
 )
 
@@ -43,7 +44,7 @@
 // mayMove reports whether records may move now: no one may be running a version that does not
 // look into the archive, and nobody waits for the changes it takes.
 func (c *Core) mayMove() bool {
-	return c.cfg.Archive && c.form() >= formHistory && c.leads() && c.leaseOK() && c.now >= c.formAt+c.cfg.HistoryWait &&
+	return c.load.Level() == overload.Calm && c.cfg.Archive && c.form() >= formHistory && c.leads() && c.leaseOK() && c.now >= c.formAt+c.cfg.HistoryWait &&
 		!c.budget.Paused(c.now) && c.accepting == 0 && len(c.txns) == 0 && c.budget.Writes >= 0.75*c.budget.Burst(c.cfg.TxnOps) && c.budget.Reads > 1
 }
 
--- a/core/types.go
+++ b/core/types.go
@@ -224,6 +224,11 @@
 	}
 	// Clock tells the time of day.
 	Clock struct{ UnixMS int64 }
+	// Strain tells how the process stands.
+	Strain struct {
+		Late           time.Duration // the longest that the core's turn was late of late
+		Queue, Sockets float64       // parts of the queue of inputs, and of the connections, that are in use
+	}
 )
 
 func (Submit) input()     {}
@@ -245,6 +250,7 @@
 func (Clouded) input()    {}
 func (FromPeer) input()   {}
 func (Clock) input()      {}
+func (Strain) input()     {}
 
 // Outputs.
 type (
--- a/core/users.go
+++ b/core/users.go
@@ -18,9 +18,15 @@
 	c.emit(r)
 }
 
+const tooBusy = "too busy"
+
 func (c *Core) refuse(req uint64, why string) {
 	c.note("debug", "request refused", "why", why)
-	c.reply(req, 503, wire.Error{Error: why})
+	r := Reply{Req: req, Status: 503, Body: wire.Error{Error: why}, RetryAfter: 1}
+	if why == tooBusy {
+		r.RetryAfter = c.comeBack()
+	}
+	c.emit(r)
 }
 
 // state is a job's state as its users see it.
@@ -181,8 +187,8 @@
 		})
 	default:
 		// More than the state service takes until they would be refused are refused at once.
-		if i, ok := c.jobIdx[in.ID]; c.accepting >= max(8, int(c.writeRPS()*c.cfg.AcceptWait.Seconds())) && (!ok || c.jobs[i].accept == nil) {
-			c.refuse(in.Req, "too busy")
+		if i, ok := c.jobIdx[in.ID]; c.accepting >= c.acceptMost() && (!ok || c.jobs[i].accept == nil) {
+			c.refuse(in.Req, tooBusy)
 			return
 		}
 		j := c.job(in.ID)
--- a/sockets/listener.go
+++ b/sockets/listener.go
@@ -30,6 +30,9 @@
 // hard is how many there may be at most, beside those in use.
 func hard(soft int) int { return soft + soft/5 }
 
+// Used is the part of the connections that there may be which there are.
+func (l *Listener) Used() float64 { return float64(l.Open()) / float64(l.hard) }
+
 // Open is how many connections there are.
 func (l *Listener) Open() int {
 	l.mu.Lock()
