--- a/core/orders.go
+++ b/core/orders.go
@@ -236,7 +236,7 @@
 	m.misses++
 	if in.Status != 0 {
 		m.misses = 0
-	} else if in.Sent {
+	} else {
 		m.missed = c.now
 	}
 	answered := in.Status == 200 || in.Status == 409 || !in.Sent
--- a/core/share.go
+++ b/core/share.go
@@ -53,10 +53,11 @@
 // mostShared is how many bytes of entries, before they are compressed, may be in a slot: they shrink to half and less.
 func (c *Core) mostShared() int { return c.cfg.ValueBytes * 7 / 4 }
 
-// entryOf renders what changes of a proposal's job; nil if it can't be shared.
+// entryOf renders what changes of a proposal's job; nil if it can't be shared. A record that nearly fills its value may be cancelled by a
+// mark, of which the slot knows nothing.
 func (c *Core) entryOf(p *proposal) json.RawMessage {
 	j, r := p.j, p.rec
-	if !c.mayShare() || j.mark == 0 || p.accept || p.cancel || r.Stage != ledger.Queued || r.Spec == nil || j.cancelMark != 0 || j.size > c.cfg.ValueBytes ||
+	if !c.mayShare() || j.mark == 0 || p.accept || p.cancel || r.Stage != ledger.Queued || r.Spec == nil || j.cancelMark != 0 || j.size > c.cfg.ValueBytes*3/4 ||
 		p.fold || len(p.conds) > 0 || len(r.Carried) > 0 || !c.mine(j) || len(p.place) > c.cfg.ValueBytes/40 {
 		return nil
 	}
