--- a/controller.go
+++ b/controller.go
@@ -73,6 +73,7 @@
 	return c
 }
 
+// CoreConfig is what a core needs to know of the platform and of the operators' own settings.
 func CoreConfig(p *settings.Platform, t *pb.Tuning) core.Config {
 	k := &p.Cluster
 	parts := sockets.Of(k.Quota.FDLimit)
--- /dev/null
+++ b/internal/standin/workers_test.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"dewlift/wire"
+)
+
+// The stand-in does with orders what the protocol says: each once, in order, no more than there is room for, none under an older token.
+func TestWorkerTakesOrders(t *testing.T) {
+	kind := wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}}
+	all := NewWorkers(1, kind, []string{"127.0.0.1:1"}, time.Minute, func(string) ([3]int64, time.Duration) { return [3]int64{2000, 0, 1000}, 0 })
+	w := all.list[0]
+	order := func(op, piece string, try uint64) wire.Order { return wire.Order{Op: op, Piece: piece, Try: try} }
+	start := []wire.Order{order(wire.OpStart, "wk-1/0", 1), order(wire.OpStart, "wk-1/0", 1), order(wire.OpStart, "wk-1/1", 2), order(wire.OpStart, "wk-1/2", 3)}
+	if !w.take(5, start) || w.take(4, []wire.Order{order(wire.OpStop, "wk-1/0", 1)}) {
+		t.Fatal("the token decides who gives orders")
+	}
+	if r := w.report(); len(r.Pieces) != 3 || r.Pieces[2].Cause != wire.CauseFull || all.Refused() != 1 {
+		t.Errorf("two of three tasks fit: %+v, %d refused", r.Pieces, all.Refused())
+	}
+	w.take(5, []wire.Order{order(wire.OpForget, "wk-1/0", 1), order(wire.OpStop, "wk-1/0", 1), order(wire.OpForget, "wk-1/2", 3)})
+	r := w.report()
+	if len(r.Pieces) != 2 || r.Pieces[0].Cause != wire.CauseStopped || r.Pieces[1].Stage == wire.TaskExited {
+		t.Errorf("one is stopped, one goes on, and one is forgotten: %+v", r.Pieces)
+	}
+	if w.take(5, []wire.Order{order(wire.OpStart, "wk-1/2", 4)}); len(w.report().Pieces) != 3 || all.Refused() != 1 {
+		t.Error("the stopped task's room is not free again")
+	}
+}
+
+// A request to rent has one outcome, however often it is repeated, and a machine that was returned is gone for good.
+func TestCloudRentsOnce(t *testing.T) {
+	kind := wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a", "b"}}
+	all := NewWorkers(4, kind, []string{"127.0.0.1:1"}, time.Minute, nil)
+	all.ctx = t.Context()
+	ask := wire.RentRequest{Name: "h-1", Type: "x", Zone: "a", Count: 5}
+	first, again := all.hire(ask), all.hire(ask)
+	if len(first) != 2 || len(again) != 2 || first[0] != again[0] || all.Up() != 2 {
+		t.Errorf("%v, then %v", first, again)
+	}
+	if list := all.page("", 1); len(list.Machines) != 1 || !list.More {
+		t.Errorf("a page of one of two: %+v", list)
+	}
+	all.giveBack(first[:1])
+	ask.Name = "h-2"
+	if all.Up() != 1 || len(all.hire(ask)) != 0 || len(all.page("", 9).Machines) != 1 {
+		t.Error("a machine that was returned is rented again")
+	}
+}
