One piece each: the entry that counts, beginning a slot, joining a transaction

Whether a slot's entry counts was worked out in two places, the second time without looking at its done tasks, and decoded twice for a job that is folded; a draft was begun and a proposal put into a transaction in two places each; a zone's pause stood twice. The experiment on sizes kept users and times that nobody read.

--- a/core/place.go
+++ b/core/place.go
@@ -479,10 +479,8 @@
 		j.lookAt = c.now + slotAgain
 		return true
 	} else if entry != nil && b.share(p, entry) {
-		b.shards(p)
-		b.teamOf(p)
-		j.dirty, j.inflight = false, true
-		b.props = append(b.props, *p)
+		b.onShard(p)
+		b.join(p)
 		return true
 	}
 	if c.form() >= formShared {
@@ -509,7 +507,7 @@
 		j.lookAt = c.now + time.Second
 		return true
 	}
-	b.shards(p)
+	b.onShard(p)
 	if n := slot; n >= 0 && c.form() >= formShared {
 		b.need(wire.Cond{Key: slotKey(n), Mark: c.slot(n).Mark})
 		switch {
@@ -534,19 +532,23 @@
 		b.t.Then = append(b.t.Then, wire.Write{Delete: keyCancel + j.id})
 	}
 	b.bytes += len(raw) + 200
-	b.teamOf(p)
-	j.dirty = false
-	j.inflight = true
-	b.props = append(b.props, *p)
+	b.join(p)
 	return true
 }
 
+// join puts a proposal into the transaction.
+func (b *builder) join(p *proposal) {
+	b.countStarts(p)
+	p.j.dirty, p.j.inflight = false, true
+	b.props = append(b.props, *p)
+}
+
 const propsMost = 64 // jobs written together; each takes a choice of machines
 
 const slotAgain = 10 * time.Millisecond // until a slot that is being written is looked at again
 
-// shards makes a transaction depend on the shard of a proposal's job, unless somebody who does not hold it may write it.
-func (b *builder) shards(p *proposal) {
+// onShard makes a transaction depend on the shard of a proposal's job, unless somebody who does not hold it may write it.
+func (b *builder) onShard(p *proposal) {
 	shard := p.rec.Shard
 	if (p.cancel || p.accept) && !b.c.mineShard(shard) || b.shard[shard] {
 		return
@@ -558,8 +560,8 @@
 	b.t.If = append(b.t.If, wire.Cond{Key: shardKey(shard), Mark: b.c.shards[shard].mark})
 }
 
-// teamOf counts a proposal's starts against its team's limits, which all who start tasks of the team write.
-func (b *builder) teamOf(p *proposal) {
+// countStarts counts a proposal's starts against its team's limits, which all who start tasks of the team write.
+func (b *builder) countStarts(p *proposal) {
 	tm := b.c.teamOf(p.rec.Spec)
 	if tm == nil || !tm.limited() || len(p.started) == 0 {
 		return
@@ -715,8 +717,10 @@
 		return p, 0
 	}
 	// Where changes are left over, a full slot is made roomy again.
-	p.fold = j.ownKey || c.budget.Writes >= 0.9*c.budget.Burst(c.cfg.TxnOps) && c.slot(c.slotOf(j.id, &rec)).Crowded(c.mostShared()) && c.overlaid(j)
-	changed := p.fold && c.overlaid(j) || p.cancel || ended || j.size > c.cfg.ValueBytes && c.form() >= formAwaits
+	crowded := c.budget.Writes >= 0.9*c.budget.Burst(c.cfg.TxnOps) && c.slot(c.slotOf(j.id, j.rec)).Crowded(c.mostShared())
+	overlaid := (j.ownKey || crowded) && c.entryOn(j.id, j.rec) != nil
+	p.fold = j.ownKey || overlaid
+	changed := overlaid || p.cancel || ended || j.size > c.cfg.ValueBytes && c.form() >= formAwaits
 	quick := p.cancel
 	var stopped []ledger.Reason
 	for _, a := range j.place {
@@ -987,14 +991,14 @@
 	var early time.Duration // until the first room that is another's to take now; 0: there is none
 	allow := ask.Allow
 	ask.Allow = func(i int32) bool {
-		switch wait := c.turn(i); {
-		case wait > 0:
-			if allow(i) && (early == 0 || wait < early) {
-				early = wait
-			}
+		if !allow(i) {
 			return false
 		}
-		return allow(i)
+		wait := c.turn(i)
+		if wait > 0 && (early == 0 || wait < early) {
+			early = wait
+		}
+		return wait == 0
 	}
 	cands := c.copy.Candidates(c.now, ask, c.rng)
 	if at := c.now + early; early > 0 && len(cands) < ask.N && (c.turnAt == 0 || at < c.turnAt) {
--- a/core/share.go
+++ b/core/share.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"dewlift/core/ledger"
@@ -68,17 +69,26 @@
 	return raw
 }
 
-// laid is a job's record with its slot's entry on top of it, if that is of this write of it.
-func (c *Core) laid(id string, r *ledger.Record) *ledger.Record {
-	if r.Spec == nil || r.Stage != ledger.Queued {
-		return r
-	}
+// entryOn is the entry that counts on top of this write of a queued job's record; nil if there is none.
+func (c *Core) entryOn(id string, r *ledger.Record) *ledger.Record {
 	raw, ok := c.slot(c.slotOf(id, r)).Entries[id]
 	if !ok {
-		return r
+		return nil
 	}
 	e, err := ledger.Decode(raw)
 	if err != nil || e.V != r.V || !e.Done.Valid(r.Spec.Tasks) {
+		return nil
+	}
+	return e
+}
+
+// laid is a job's record with its slot's entry on top of it, if there is one that counts.
+func (c *Core) laid(id string, r *ledger.Record) *ledger.Record {
+	if r.Spec == nil || r.Stage != ledger.Queued {
+		return r
+	}
+	e := c.entryOn(id, r)
+	if e == nil {
 		return r
 	}
 	out := *r
@@ -115,16 +125,6 @@
 	return nil
 }
 
-// overlaid reports whether a job has an entry that counts.
-func (c *Core) overlaid(j *job) bool {
-	raw, ok := c.slot(c.slotOf(j.id, j.rec)).Entries[j.id]
-	if !ok {
-		return false
-	}
-	e, err := ledger.Decode(raw)
-	return err == nil && e.V == j.rec.V
-}
-
 // draft is the next value of a slot in a transaction.
 func (b *builder) draft(n int) *shared.Draft {
 	if d := b.slots[n]; d != nil {
@@ -138,24 +138,25 @@
 		e, err := ledger.Decode(raw)
 		return err != nil || e.V >= j.rec.V // one of a write that is not seen yet is another's to judge
 	})
+	b.begin(n, d)
+	return d
+}
+
+// begin has a transaction write a slot.
+func (b *builder) begin(n int, d *shared.Draft) {
 	if b.slots == nil {
 		b.slots = map[int]*shared.Draft{}
 	}
 	b.slots[n] = d
-	b.bytes += b.c.cfg.ValueBytes // all of them are written
-	return d
+	b.bytes += b.c.cfg.ValueBytes // all of its entries are written
 }
 
 // drop takes a job's entry out of a slot that others hold.
 func (b *builder) drop(n int, id string) {
-	if b.slots == nil {
-		b.slots = map[int]*shared.Draft{}
-	}
 	d := b.slots[n]
 	if d == nil {
 		d = &shared.Draft{Entries: b.c.slot(n).Entries}
-		b.slots[n] = d
-		b.bytes += b.c.cfg.ValueBytes
+		b.begin(n, d)
 	}
 	d.Entries = d.Entries.Without(id)
 }
@@ -175,12 +176,9 @@
 
 // need adds a condition, once.
 func (b *builder) need(k wire.Cond) {
-	for _, have := range b.t.If {
-		if have == k {
-			return
-		}
+	if !slices.Contains(b.t.If, k) {
+		b.t.If = append(b.t.If, k)
 	}
-	b.t.If = append(b.t.If, k)
 }
 
 // closeSlots renders the slots of a transaction, and returns the jobs that did not fit after all.
--- a/core/zones.go
+++ b/core/zones.go
@@ -37,14 +37,19 @@
 	}
 }
 
+// pause is how long a zone that is well is never quiet.
+func (c *Core) pause(z *zoneNews) time.Duration {
+	return reportsLost * c.cfg.ReportEvery / time.Duration(z.up)
+}
+
 // quiet reports whether nothing has been heard of a zone for a time, although it has many machines and others are heard of.
 func (c *Core) quiet(zone string, least time.Duration) bool {
 	z := c.zones[zone]
-	if z == nil || z.up < leastOfZone || c.now-z.heard <= max(least, reportsLost*c.cfg.ReportEvery/time.Duration(z.up)) {
+	if z == nil || z.up < leastOfZone || c.now-z.heard <= max(least, c.pause(z)) {
 		return false
 	}
 	for _, o := range c.zones {
-		if o.up >= leastOfZone && c.now-o.heard <= reportsLost*c.cfg.ReportEvery/time.Duration(o.up) {
+		if o.up >= leastOfZone && c.now-o.heard <= c.pause(o) {
 			return true
 		}
 	}
--- a/internal/measure/scale/site.go
+++ b/internal/measure/scale/site.go
@@ -45,7 +45,6 @@
 	waiting []func()
 
 	counted counts
-	jobs    map[string]*user
 }
 
 // counts are what happened since the last look.
@@ -53,12 +52,6 @@
 	changes, accepted, started, refused, lost, replaced int
 }
 
-type user struct {
-	id       string
-	began    time.Duration
-	accepted bool
-}
-
 type event struct {
 	at  time.Duration
 	seq int
@@ -84,7 +77,6 @@
 type node struct {
 	name     string
 	core     *core.Core
-	began    time.Duration
 	lease    uint64
 	busy     time.Duration // of the processor, in the core
 	codec    time.Duration // the same, for messages between controllers
@@ -110,7 +102,7 @@
 }
 
 func newSite(n int, seed uint64) *site {
-	s := &site{most: n, rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*machine{}, keys: map[string]wire.Item{}, jobs: map[string]*user{}}
+	s := &site{most: n, rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*machine{}, keys: map[string]wire.Item{}}
 	raw, err := json.Marshal(wire.Catalog{Types: []wire.MachineType{kind}})
 	if err != nil {
 		panic(err) // strings and numbers
@@ -450,41 +442,39 @@
 const firstArray = "wk-500000" // ids below are services
 
 // submit submits a job, again and again until it is accepted.
-func (s *site) submit(u *user, spec wire.Spec) {
+func (s *site) submit(spec wire.Spec) {
 	s.ask(s.nodes[s.rng.IntN(controllers)], func(req uint64) core.Input {
-		return core.Submit{Req: req, ID: u.id, Spec: spec, UnixMS: startMS + s.now.Milliseconds()}
+		return core.Submit{Req: req, ID: spec.ID, Spec: spec, UnixMS: startMS + s.now.Milliseconds()}
 	}, func(r core.Reply) {
 		if r.Status == 201 || r.Status == 200 {
-			u.accepted = true
 			s.counted.accepted++
 			return
 		}
-		s.after(time.Duration(max(1, r.RetryAfter))*time.Second, func() { s.submit(u, spec) })
+		s.after(time.Duration(max(1, r.RetryAfter))*time.Second, func() { s.submit(spec) })
 	})
 }
 
 // poll asks for a job now and then, as its user does.
-func (s *site) poll(u *user) {
+func (s *site) poll(id string) {
 	s.after(5*time.Second, func() {
-		s.ask(s.nodes[s.rng.IntN(controllers)], func(req uint64) core.Input { return core.Poll{Req: req, ID: u.id} }, func(r core.Reply) {
+		s.ask(s.nodes[s.rng.IntN(controllers)], func(req uint64) core.Input { return core.Poll{Req: req, ID: id} }, func(r core.Reply) {
 			if st, ok := r.Body.(wire.JobState); ok && st.Stage == wire.StageDone {
 				return
 			}
-			s.poll(u)
+			s.poll(id)
 		})
 	})
 }
 
 // job submits the next job.
 func (s *site) job(n int, service bool) {
-	u := &user{id: fmt.Sprintf("wk-%06d", n), began: s.now}
-	spec := wire.Spec{ID: u.id, Class: "firings", Team: "t", Priority: 1, Tasks: 90, Claim: [3]int64{3000, 0, 6000}, Image: "i", Spot: true, EstimateMS: 50_000}
+	spec := wire.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: "firings", Team: "t", Priority: 1, Tasks: 90, Claim: [3]int64{3000, 0, 6000}, Image: "i", Spot: true, EstimateMS: 50_000}
 	if service {
 		spec.Class, spec.Service, spec.Priority, spec.Tasks, spec.Spread, spec.Spot, spec.EstimateMS = "desk", true, 0, 9, true, false, 0
 		spec.Claim = [3]int64{1000, 0, 2200}
 	}
-	s.submit(u, spec)
-	s.poll(u)
+	s.submit(spec)
+	s.poll(spec.ID)
 }
 
 func sorted(m map[string]wire.Item) []string {
