--- a/internal/measure/scale/main.go
+++ b/internal/measure/scale/main.go
@@ -22,6 +22,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"dewlift/internal/agenda"
 	"dewlift/internal/chart"
 )
 
@@ -175,7 +176,7 @@
 
 	whole := heapBytes()
 	x := s.nodes[2]
-	s.nodes, s.queue = s.nodes[:2:2], nil // what is on its way holds on to the core
+	s.nodes, s.queue = s.nodes[:2:2], agenda.Agenda{} // what is on its way holds on to the core
 	x.core, x.answered, x.pending = nil, nil, nil
 	f.MB = (whole - heapBytes()) / 1e6
 	f.MachineB = f.MB * 1e6 / float64(f.Machines)
--- a/internal/measure/scale/site.go
+++ b/internal/measure/scale/site.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"dewlift"
 	"dewlift/core"
+	"dewlift/internal/agenda"
 	"dewlift/settings"
 	"dewlift/wire"
 )
@@ -31,8 +31,8 @@
 	most     int // machines at a time
 	rng      *rand.Rand
 	now      time.Duration
-	seq      int
-	queue    events
+	asked    uint64 // requests of users and workers
+	queue    agenda.Agenda
 	nodes    []*node
 	machines []*machine
 	byName   map[string]*machine
@@ -52,27 +52,6 @@
 	changes, accepted, started, refused, lost, replaced int
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // node is a controller with what its core took.
 type node struct {
 	name     string
@@ -164,16 +143,18 @@
 }
 
 func (s *site) after(d time.Duration, f func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now + d, s.seq, f})
+	s.queue.Add(s.now+d, f)
 }
 
 // run lets time pass.
 func (s *site) run(until time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at <= until {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
+	for {
+		at, do, ok := s.queue.Next(until)
+		if !ok {
+			break
+		}
+		s.now = at
+		do()
 	}
 	s.now = until
 }
@@ -433,8 +414,8 @@
 }
 
 func (s *site) ask(n *node, in func(req uint64) core.Input, then func(core.Reply)) {
-	s.seq++
-	req := uint64(s.seq)
+	s.asked++
+	req := s.asked
 	n.answered[req] = func(r core.Reply) { s.after(near, func() { then(r) }) }
 	s.after(near, func() { s.input(n, in(req)) })
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"dewlift/core"
+	"dewlift/internal/agenda"
 	"dewlift/wire"
 )
 
@@ -29,27 +29,6 @@
 	History  bool // ended jobs move into the archive, nearly at once
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type node struct {
 	name  string
 	core  *core.Core
@@ -69,8 +48,7 @@
 	opt   Options
 	rng   *rand.Rand
 	now   time.Duration
-	seq   int
-	queue events
+	queue agenda.Agenda
 	nodes []*node
 	state *stateService
 	cloud *cloudStandIn
@@ -118,8 +96,7 @@
 }
 
 func (w *World) after(d time.Duration, f func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+	w.queue.Add(w.now+d, f)
 }
 
 func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
@@ -140,13 +117,13 @@
 	if !w.opt.Quiet {
 		w.troubles()
 	}
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		if e.at > w.opt.Length {
+	for {
+		at, do, ok := w.queue.Next(w.opt.Length)
+		if !ok {
 			break
 		}
-		w.now = e.at
-		e.do()
+		w.now = at
+		do()
 		w.Check.Tick(w.now)
 		if len(w.Check.Broken) > 0 {
 			return
