Booking ledger: equipment is booked in slots, never twice, whatever fails

Need: kilns and roasters are booked by several people at several controllers, and a booking that was confirmed must survive any of them. Nothing could be reserved.

The newest bookings are in one value, written on condition of its mark by whichever controller decides; a full one becomes a page in the same transaction. So every decision knows all before it, a series or a move is one write, and a late write fails.

--- a/access/access.go
+++ b/access/access.go
@@ -200,7 +200,7 @@
 
 // aboutJobs reports whether a verb is about jobs, and so bound to teams and classes.
 func aboutJobs(v Verb) bool {
-	return v != pb.Verb_administer && v != pb.Verb_audit && v != pb.Verb_report
+	return v != pb.Verb_administer && v != pb.Verb_audit && v != pb.Verb_report && v != pb.Verb_equip
 }
 
 // WorkersSign reports whether workers' reports need a token.
--- a/api/api.go
+++ b/api/api.go
@@ -11,6 +11,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -42,6 +43,8 @@
 	gate    *gate
 	tls     *tls.Config
 
+	booking atomic.Bool // something can be booked
+
 	refusedMu sync.Mutex
 	refused   audit.Gather
 }
@@ -209,6 +212,7 @@
 		}
 		return s.ask(c, userWait, func(req uint64) core.Input { in.Req = req; return in })
 	}))
+	s.bookingRoutes(app)
 	app.Post(wire.PathJobs, s.as(func(c fiber.Ctx, by core.Cred) error {
 		in := core.Submit{By: by, UnixMS: time.Now().UnixMilli()}
 		spec, err := wire.ParseSubmission(c.Body())
--- a/cmd/dewlift/access.go
+++ b/cmd/dewlift/access.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -31,8 +32,18 @@
 	f.StringVar(&me.certificateKey, "certificate-key", os.Getenv("DEWLIFT_CERTIFICATE_KEY"), "its key (PEM)")
 }
 
-// ask makes a request to a controller in one's name.
-func (me *self) ask(ctx context.Context, method, server, path string, body any) (call.Result, error) {
+// ask makes a request in one's name to a controller, or to the first that answers of several, separated by commas. Whatever is asked may be
+// repeated: one that answers nothing may have done it.
+func (me *self) ask(ctx context.Context, method, servers, path string, body any) (r call.Result, err error) {
+	for server := range strings.SplitSeq(servers, ",") {
+		if r, err = me.askOne(ctx, method, strings.TrimPrefix(server, "http://"), path, body); err != nil || r.Err == nil && r.Status != http.StatusServiceUnavailable {
+			return r, err
+		}
+	}
+	return r, err
+}
+
+func (me *self) askOne(ctx context.Context, method, server, path string, body any) (call.Result, error) {
 	c, scheme := call.New(1, 1, 16<<20), "http://"
 	if me.key != "" {
 		k, err := loadKey(me.key)
--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -28,27 +28,38 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "dewlift: "+err.Error())
-		if fault := (*audit.Fault)(nil); errors.As(err, &fault) { // a finding, not bad use
-			os.Exit(1)
-		}
-		os.Exit(2)
+		os.Exit(exitOf(err))
+	}
+}
+
+// exitOf is the exit code of an error: 1 of a finding or a refusal, 2 of bad use and of all else.
+func exitOf(err error) int {
+	fault, no := (*audit.Fault)(nil), refusal("")
+	if errors.As(err, &fault) || errors.As(err, &no) {
+		return 1
 	}
+	return 2
 }
 
+// files are those that turn something on.
+type files struct{ access, secure, booking string }
+
 func root() *cobra.Command {
-	var config, tuning, accessFile, secureFile string
+	var config, tuning string
+	var on files
 	me := &self{}
 	cmd := &cobra.Command{
 		Use: "dewlift", Short: "A cluster scheduler with collaborate-state", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.Context(), config, tuning, accessFile, secureFile)
+			return run(cmd.Context(), config, tuning, on)
 		},
 	}
 	cmd.PersistentFlags().StringVar(&config, "config", "", "the platform's settings file (JSON)")
 	cmd.PersistentFlags().StringVar(&tuning, "tuning", os.Getenv("DEWLIFT_TUNING"), "the operators' own settings (protobuf text format)")
-	cmd.Flags().StringVar(&accessFile, "access", os.Getenv("DEWLIFT_ACCESS"), "the site's first rights (protobuf text format)")
-	cmd.Flags().StringVar(&secureFile, "tls", os.Getenv("DEWLIFT_TLS"), "files of certificates and keys (protobuf text format)")
+	cmd.Flags().StringVar(&on.access, "access", os.Getenv("DEWLIFT_ACCESS"), "the site's first rights (protobuf text format)")
+	cmd.Flags().StringVar(&on.secure, "tls", os.Getenv("DEWLIFT_TLS"), "files of certificates and keys (protobuf text format)")
+	cmd.Flags().StringVar(&on.booking, "booking", os.Getenv("DEWLIFT_BOOKING"), "the site's first list of equipment that can be booked (protobuf text format)")
 	me.flags(cmd.PersistentFlags())
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the settings", Args: cobra.NoArgs,
@@ -65,7 +76,7 @@
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dewlift "+version) },
-	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me), settingsCommand())
+	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me), bookingCommand(me), settingsCommand())
 	return cmd
 }
 
@@ -112,7 +123,7 @@
 	return job
 }
 
-func run(ctx context.Context, config, tuning, accessFile, secureFile string) error {
+func run(ctx context.Context, config, tuning string, on files) error {
 	if config == "" {
 		return fmt.Errorf("--config FILE is needed")
 	}
@@ -135,16 +146,21 @@
 	debug.SetMemoryLimit(int64(p.Cluster.Quota.MemMB * 0.7 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	var g dewlift.Guards
-	if accessFile != "" {
-		if g.Rights, err = loadAccess(accessFile); err != nil {
+	if on.access != "" {
+		if g.Rights, err = loadAccess(on.access); err != nil {
 			return err
 		}
 		if g.Audit, err = auditKeyOf(g.Rights, p); err != nil {
 			return err
 		}
 	}
-	if secureFile != "" {
-		if g.Files, err = secure.Load(secureFile, log); err != nil {
+	if on.booking != "" {
+		if g.Equipment, err = loadEquipment(on.booking); err != nil {
+			return err
+		}
+	}
+	if on.secure != "" {
+		if g.Files, err = secure.Load(on.secure, log); err != nil {
 			return err
 		}
 	}
--- a/controller.go
+++ b/controller.go
@@ -15,6 +15,7 @@
 	"dewlift/agent"
 	"dewlift/api"
 	"dewlift/audit"
+	"dewlift/booking"
 	"dewlift/cloud"
 	"dewlift/core"
 	"dewlift/mesh"
@@ -50,11 +51,13 @@
 	queueLen = 4096
 )
 
-// Guards are what a controller may be guarded with; the zero value is none of it.
+// Guards are what a controller may be guarded with, and what else is turned on by a file; the zero value is none of it.
 type Guards struct {
 	Rights *access.Policy // put in force where the state service has none
 	Audit  audit.Key      // of the audit record
 	Files  *secure.Files  // of TLS; nil: all is in plain text
+	// Equipment is what can be booked where the state service has no list; nil: nothing.
+	Equipment *booking.Site
 }
 
 // New assembles a controller.
@@ -62,7 +65,7 @@
 	c := &Controller{log: log, p: p, inputs: make(chan core.Input, queueLen), started: time.Now(),
 		state: statestore.New(p.Services.State), cloud: cloud.New(p.Services.Cloud), agent: agent.New(sockets.Of(p.Cluster.Quota.FDLimit).Idle), figures: newFigures()}
 	cfg := CoreConfig(p, t)
-	cfg.Access, cfg.AuditKey, cfg.Settings = g.Rights, g.Audit, settings.Recorded(p, t)
+	cfg.Access, cfg.AuditKey, cfg.Equipment, cfg.Settings = g.Rights, g.Audit, g.Equipment, settings.Recorded(p, t)
 	c.core = core.New(cfg, 0, rand.Uint64())
 	peers := map[string]string{}
 	for _, q := range p.Peers {
@@ -313,6 +316,8 @@
 		go func() { c.must(ctx, c.cloud.Do(ctx, o)) }()
 	case core.Rights:
 		c.api.SetRights(o.Policy)
+	case core.Bookings:
+		c.api.SetBooking(o.Open)
 	case core.Note:
 		level := slog.LevelInfo
 		switch o.Level {
--- /dev/null
+++ b/core/bookings.go
@@ -0,0 +1,398 @@
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"time"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"dewlift/access"
+	"dewlift/audit"
+	ledger "dewlift/booking"
+	"dewlift/core/booking"
+	"dewlift/core/recorder"
+	pb "dewlift/proto"
+	"dewlift/wire"
+)
+
+// Bookings of equipment: who asks, with which right, and what it may take of the changes. What is decided is in the package booking,
+// what is stored in core/booking.
+
+// bookings is what the core keeps beside the desk.
+type bookings struct {
+	ids    []uint64 // entries of the audit record in the transaction on its way
+	told   bool     // that something can be booked
+	seedAt time.Duration
+}
+
+// booker is who waits for the answer to an ask; nobody waits for one of the service itself.
+type booker struct {
+	req  uint64
+	by   Cred
+	self bool
+}
+
+const oldVersion = "a controller may still run a version that does not know bookings"
+
+func (c *Core) putBooking(key string, raw json.RawMessage, mark uint64) error {
+	carried, err := c.desk.Put(key, raw, mark)
+	if key == booking.KeyHead {
+		c.recorder().Saw(key, mark, carried)
+	}
+	return err
+}
+
+// mayAsk answers those who can't be served now: false if it did.
+func (c *Core) mayAsk(req uint64) bool {
+	switch {
+	case c.closed():
+		c.refuse(req, notYet)
+	case !c.loaded:
+		c.refuse(req, "not caught up")
+	case c.stateDown():
+		c.refuse(req, "state service not reached")
+	case c.form() < formBooking:
+		c.refuse(req, oldVersion)
+	default:
+		return true
+	}
+	return false
+}
+
+// book has a wish wait for its turn.
+func (c *Core) book(in Book) {
+	b := in.Ask
+	if !ledger.ValidID(b.ID) {
+		c.reply(in.Req, 400, wire.BookingAnswer{Error: "id: letters, digits, dots, dashes and underscores, at most 64"})
+		return
+	}
+	rank, ok := wire.Priority(cmp.Or(b.Priority, wire.PriorityName(wire.PriorityStandard)))
+	if !ok {
+		c.reply(in.Req, 400, wire.BookingAnswer{Error: "priority: there is no " + b.Priority})
+		return
+	}
+	if !c.mayAsk(in.Req) {
+		return
+	}
+	w := ledger.Wish{Verb: in.Verb, ID: b.ID, Team: b.Team, Who: in.By.Who, HoldS: b.HoldS, Rank: uint32(rank), Wait: b.Wait, Why: b.Why}
+	c.askDesk(&booking.Ask{Wish: w, Wants: b.Slots, Again: b.Repeat, Tag: booker{req: in.Req, by: in.By}})
+}
+
+func (c *Core) askDesk(a *booking.Ask) {
+	a.Until = c.now + c.cfg.AcceptWait
+	if !c.desk.Ask(a) {
+		c.refuse(a.Tag.(booker).req, tooBusy)
+	}
+}
+
+// equip has another list of equipment put in force.
+func (c *Core) equip(in Equip) {
+	site, err := ledger.Parse([]byte(in.Edit.Text))
+	if err != nil {
+		c.reply(in.Req, 400, wire.BookingAnswer{Error: "equipment: " + err.Error()})
+		return
+	}
+	if !c.mayAsk(in.Req) {
+		return
+	}
+	w := ledger.Wish{Verb: ledger.Equip, Replace: site, EndThem: in.Edit.End, Why: in.Edit.Why}
+	c.askDesk(&booking.Ask{Wish: w, Tag: booker{req: in.Req, by: in.By}})
+}
+
+// bookStep decides what waits, and answers.
+func (c *Core) bookStep() {
+	if open := c.desk.Open() && c.form() >= formBooking; open != c.deskState.told {
+		c.deskState.told = open
+		c.emit(Bookings{Open: open})
+	}
+	for _, a := range c.desk.Late(c.now) {
+		c.answerBooking(a)
+	}
+	if c.mute() || c.form() < formBooking || c.unix == 0 {
+		return
+	}
+	c.seedEquipment()
+	if c.desk.Due(c.now, c.unixS()) && !c.budget.PausedAll(c.now) && c.budget.Reads >= 1 && c.budget.Writes >= 1-c.writeRPS()/4 {
+		c.sendBookings()
+		return
+	}
+	if c.leads() && c.budget.Writes >= 0.75*c.budget.Burst(c.cfg.TxnOps) && !c.budget.Paused(c.now) {
+		if t := c.desk.Merge(max(2, c.cfg.TxnOps/2), c.cfg.ValueBytes); t != nil {
+			c.commit(*t, &txn{done: func(int, wire.TxnReply) {
+				c.afterBarrier(func(bool) { c.desk.Merged() }) // what came of it shows there
+			}})
+		}
+	}
+}
+
+func (c *Core) unixS() int64 { return c.unixMS() / 1000 }
+
+// seedEquipment puts the list of the file in force where there is none.
+func (c *Core) seedEquipment() {
+	if c.cfg.Equipment == nil || c.desk.Version() != 0 || !c.leads() || !c.leaseOK() || c.now < c.deskState.seedAt || c.budget.Paused(c.now) || c.budget.Writes < 1 {
+		return
+	}
+	c.deskState.seedAt = c.now + 2*time.Second
+	raw, err := booking.EncodeList(c.cfg.Equipment.Source())
+	if err != nil || len(raw) > c.cfg.ValueBytes {
+		c.note("error", "the list of equipment does not fit a value", "bytes", len(raw))
+		c.deskState.seedAt = c.now + time.Minute
+		return
+	}
+	c.commit(wire.Txn{If: []wire.Cond{{Key: booking.KeyList}}, Then: []wire.Write{{Put: booking.KeyList, Value: raw}}},
+		&txn{done: func(int, wire.TxnReply) { c.afterBarrier(func(bool) {}) }})
+}
+
+// sendBookings decides the asks that wait.
+func (c *Core) sendBookings() {
+	s := &c.deskState
+	t := c.desk.Step(booking.Env{Now: c.now, UnixS: c.unixS(), ValueBytes: c.cfg.ValueBytes, Conds: 4 * c.cfg.TxnOps, May: c.mayBook, Carry: c.carryBookings})
+	if t == nil {
+		return
+	}
+	ids := s.ids
+	s.ids = nil
+	c.commit(*t, &txn{done: func(status int, r wire.TxnReply) {
+		c.recorder().Outcome(ids, status)
+		if status == 400 && len(t.Then) > 0 {
+			c.shrink(t)
+		}
+		answers, read := c.desk.Outcome(status, r.Ledger)
+		for _, a := range answers {
+			c.answerBooking(a)
+		}
+		if read {
+			c.barrierAt = min(c.barrierAt, c.now) // somebody was quicker: read at once, or they always are
+			c.afterBarrier(func(bool) { c.desk.Read() })
+		}
+	}})
+}
+
+var bookingVerbs = map[ledger.Verb]string{ledger.Make: "book", ledger.Confirm: "confirm booking", ledger.Move: "move booking",
+	ledger.End: "end booking", ledger.Equip: "change equipment"}
+
+// mayBook decides whether somebody may do with a team's bookings what they ask for.
+func (c *Core) mayBook(a *booking.Ask, team string, kinds []string) (conds []wire.Cond, why string) {
+	by := a.Tag.(booker).by
+	conds = c.onRights(by)
+	if !c.guarded() {
+		return conds, ""
+	}
+	if a.Wish.Verb == ledger.Equip {
+		if d := c.may(by, access.Act{Verb: pb.Verb_equip}); !d.Allowed {
+			return conds, d.Why
+		}
+		return conds, ""
+	}
+	if len(kinds) == 0 {
+		kinds = []string{""} // of what is not there
+	}
+	for _, k := range kinds {
+		if d := c.may(by, access.Act{Verb: pb.Verb_book, Team: team, Class: k}); !d.Allowed {
+			return conds, d.Why
+		}
+	}
+	return conds, ""
+}
+
+// carryBookings has the head carry entries of what is done: of those who asked, and of what time has done.
+func (c *Core) carryBookings(mark uint64, old []audit.Carried, asks []*booking.Ask, done []*pb.Booking) []audit.Carried {
+	s := &c.deskState
+	c.recorder().Unsent(s.ids)
+	asked := map[string]bool{}
+	var acts []recorder.Act
+	for _, a := range asks {
+		by, object := a.Tag.(booker).by, cmp.Or(a.Wish.ID, "equipment")
+		asked[object] = true
+		acts = append(acts, actOf(by, bookingVerbs[a.Wish.Verb], object, a.Wish.Why))
+	}
+	for _, b := range done {
+		if !asked[b.Id] {
+			acts = append(acts, recorder.Act{Verb: "end booking", Object: b.Id, Why: cmp.Or(b.Why, "it got its slots")})
+		}
+	}
+	var list []audit.Carried
+	list, s.ids = c.recorder().Carry(booking.KeyHead, mark, old, acts)
+	return list
+}
+
+// answerBooking tells somebody what became of their wish.
+func (c *Core) answerBooking(a booking.Answer) {
+	who := a.Ask.Tag.(booker)
+	if who.self {
+		return
+	}
+	switch {
+	case a.Late:
+		c.refuse(who.req, "it could not be decided in time")
+		return
+	case a.Forbidden:
+		c.forbid(who.req, who.by, bookingVerbs[a.Ask.Wish.Verb], cmp.Or(a.Ask.Wish.ID, "equipment"), a.Why)
+		return
+	}
+	status := map[ledger.Outcome]int{ledger.Done: 200, ledger.Again: 200, ledger.Refused: 409, ledger.Bad: 422, ledger.Unknown: 404}[a.Outcome]
+	if a.Outcome == ledger.Done && a.Ask.Wish.Verb == ledger.Make {
+		status = 201
+	}
+	out := wire.BookingAnswer{Error: a.Why, Free: c.freeTimes(a.Free), Displaced: c.bookingsOf(a.Displaced)}
+	if a.Booking != nil && c.maySee(who.by, a.Booking) {
+		out.Booking = new(c.bookingOf(a.Booking))
+	}
+	if a.Ask.Wish.Verb == ledger.Equip {
+		out.Version = c.desk.Version()
+	}
+	c.reply(who.req, status, out)
+}
+
+// maySee decides whether somebody may read a booking: as one of its team.
+func (c *Core) maySee(by Cred, b *pb.Booking) bool {
+	if !c.guarded() {
+		return true
+	}
+	kind := ""
+	if site := c.desk.Site(); site != nil {
+		switch {
+		case len(b.Slots) > 0:
+			kind = site.Kind(b.Slots[0].Piece)
+		case len(b.Wants) > 0:
+			kind = site.KindOf(b.Wants[0])
+		}
+	}
+	return c.may(by, access.Act{Verb: pb.Verb_read, Team: b.Team, Class: kind}).Allowed
+}
+
+func (c *Core) bookingOf(b *pb.Booking) wire.Booking {
+	site := c.desk.Site()
+	at := func(t int64) string {
+		if t == 0 || site == nil {
+			return ""
+		}
+		return site.Text(t)
+	}
+	out := wire.Booking{ID: b.Id, State: b.State.String(), Team: b.Team, Who: b.Who, Slots: []wire.BookedSlot{}, HeldUntil: at(b.HeldUntil),
+		Priority: wire.PriorityName(int(min(b.Rank, uint32(wire.PriorityLeast)))), Why: b.Why, EndedAt: at(b.EndedAt)}
+	for _, x := range b.Slots {
+		out.Slots = append(out.Slots, wire.BookedSlot{Piece: x.Piece, Unit: x.Unit, From: at(x.From), To: at(x.To), Clear: at(x.Clear)})
+	}
+	for _, x := range b.Wants {
+		out.Slots = append(out.Slots, wire.BookedSlot{Piece: x.Piece, Kind: x.Kind, From: at(x.From), Slots: x.Slots})
+	}
+	if b.State == pb.BookingState_waiting {
+		c.desk.View(func(l *ledger.Ledger) {
+			for i, o := range l.Waiting() {
+				if o.Id == b.Id {
+					out.Place = i + 1
+				}
+			}
+		})
+	}
+	return out
+}
+
+func (c *Core) bookingsOf(list []*pb.Booking) (out []wire.Booking) {
+	for _, b := range list {
+		out = append(out, c.bookingOf(b))
+	}
+	return out
+}
+
+func (c *Core) freeTimes(list []ledger.Free) (out []wire.FreeTime) {
+	for _, f := range list {
+		out = append(out, wire.FreeTime{Piece: f.Piece, From: c.desk.Site().Text(f.From), To: c.desk.Site().Text(f.To)})
+	}
+	return out
+}
+
+const (
+	shownBookings = 500 // of a list
+	shownFree     = 50
+)
+
+// showBookings answers a question about bookings, as of a barrier. Only how a booking ended is told without one, where no rights are in force.
+func (c *Core) showBookings(in ShowBookings) {
+	q := in.Query
+	if q.ID != "" && c.loaded && !c.closed() && !c.guarded() {
+		ended := false
+		c.desk.View(func(l *ledger.Ledger) {
+			if b := l.Get(q.ID); b != nil && b.State == pb.BookingState_ended {
+				ended = true
+				c.reply(in.Req, 200, wire.BookingAnswer{Booking: new(c.bookingOf(b))})
+			}
+		})
+		if ended {
+			return
+		}
+	}
+	if !c.mayAsk(in.Req) {
+		return
+	}
+	c.afterBarrier(func(ok bool) {
+		if !ok || !c.desk.Open() {
+			c.refuse(in.Req, "state service not reached")
+			return
+		}
+		c.desk.View(func(l *ledger.Ledger) {
+			status, out := c.lookUp(in.By, l, &q)
+			c.reply(in.Req, status, out)
+		})
+	})
+}
+
+// lookUp answers a question from the ledger.
+func (c *Core) lookUp(by Cred, l *ledger.Ledger, q *wire.BookingQuery) (int, wire.BookingAnswer) {
+	site := c.desk.Site()
+	bad := func(err error) (int, wire.BookingAnswer) { return 400, wire.BookingAnswer{Error: err.Error()} }
+	switch {
+	case q.ID != "":
+		b := l.Get(q.ID)
+		if b == nil || !c.maySee(by, b) {
+			return 404, wire.BookingAnswer{Error: "there is no booking " + q.ID}
+		}
+		return 200, wire.BookingAnswer{Booking: new(c.bookingOf(b))}
+	case q.Day != "":
+		from, to, err := site.Day(q.Day)
+		if err != nil {
+			return bad(err)
+		}
+		list, ok := l.Day(site, q.Piece, from, to)
+		if !ok {
+			return 404, wire.BookingAnswer{Error: "there is no " + q.Piece}
+		}
+		return 200, c.readable(by, list)
+	case q.Waiting:
+		return 200, c.readable(by, l.Waiting())
+	case q.Free:
+		w := &pb.Want{Piece: q.Piece, Kind: q.Kind, Zone: q.Zone, Slots: max(1, q.Slots)}
+		from, until := c.unixS(), int64(0)
+		var err error
+		if q.From != "" {
+			if from, err = site.Time(q.From); err != nil {
+				return bad(err)
+			}
+		}
+		if q.By != "" {
+			if until, err = site.Time(q.By); err != nil {
+				return bad(err)
+			}
+		}
+		free := site.Next(l, "", q.Team, w, max(from, c.unixS()), until, min(max(1, q.Most), shownFree))
+		return 200, wire.BookingAnswer{Free: c.freeTimes(free)}
+	}
+	text, err := prototext.MarshalOptions{Multiline: true}.Marshal(site.Source())
+	if err != nil {
+		return 500, wire.BookingAnswer{Error: err.Error()}
+	}
+	return 200, wire.BookingAnswer{Equipment: string(text), Version: c.desk.Version()}
+}
+
+// readable are those of a list that somebody may read, as far as they fit an answer.
+func (c *Core) readable(by Cred, list []*pb.Booking) wire.BookingAnswer {
+	var out []wire.Booking
+	for _, b := range list {
+		if c.maySee(by, b) && len(out) < shownBookings {
+			out = append(out, c.bookingOf(b))
+		}
+	}
+	return wire.BookingAnswer{Bookings: out}
+}
--- a/core/core.go
+++ b/core/core.go
@@ -12,6 +12,7 @@
 
 	"dewlift/audit"
 	"dewlift/ccs"
+	"dewlift/core/booking"
 	"dewlift/core/budget"
 	"dewlift/core/ledger"
 	"dewlift/core/links"
@@ -242,6 +243,8 @@
 	hist      history // see history.go
 	rights    rights  // see rights.go
 	audit     *recorder.Recorder
+	desk      *booking.Desk // see bookings.go
+	deskState bookings
 	restored  restored
 	sweep     *sweep // see sweep.go
 	sweepLook time.Duration
@@ -364,7 +367,7 @@
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, teamIdx: map[string]int{}, links: links.New(cfg.Peers, cfg.LinkLost),
 		shards: make([]held, cfg.Shards), slots: map[int]*shared.Slot{}, nodes: map[string]held{}, forms: map[string]int{}, txns: map[uint64]*txn{},
 		zones: map[string]*zoneNews{}, wanted: map[string][]string{}, clouds: map[uint64]func(Clouded){}, batches: map[string][]deltaBatch{}, sends: map[uint64]send{}, relayed: map[uint64]relayed{},
-		budget: budget.New(now), settle: cfg.Settle, hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}}
+		budget: budget.New(now), settle: cfg.Settle, desk: booking.New(), hist: newHistory(&cfg), rights: rights{who: map[string]storedIdentity{}}}
 	c.audit = c.newRecorder()
 	c.copy.Expire = cfg.CopyExpire
 	c.shareBudget()
@@ -504,6 +507,12 @@
 		c.showRights(in)
 	case ReadAudit:
 		c.readAudit(in)
+	case Book:
+		c.book(in)
+	case ShowBookings:
+		c.showBookings(in)
+	case Equip:
+		c.equip(in)
 	case Refused:
 		for _, it := range in.Items {
 			c.recorder().Refused(audit.Item{Who: it.Who, Verb: it.Verb, Object: it.Object, Why: it.Why}, it.Count)
@@ -556,6 +565,7 @@
 		c.seedAccess()
 		c.tellRights()
 		c.place()
+		c.bookStep()
 		c.resolve()
 		c.lookup()
 		c.sweepStep()
@@ -753,6 +763,7 @@
 		c.hist.cold, c.hist.marker = 0, 0
 		c.rights = rights{who: map[string]storedIdentity{}}
 		c.hist.index.Clear()
+		c.desk.Clear()
 		c.sweep = nil
 		c.restored.mark = 0
 		c.loadAt, c.loadPages = in.Ledger, 0
@@ -889,6 +900,8 @@
 		bad(c.putRestored(raw, mark))
 	case key == keyHistory:
 		c.putHistory(mark)
+	case strings.HasPrefix(key, booking.Prefix):
+		bad(c.putBooking(key, raw, mark))
 	case strings.HasPrefix(key, keyCancel):
 		bad(c.putCancel(key, raw, mark))
 	}
@@ -918,6 +931,8 @@
 		c.dropAccess(key)
 	case key == KeyRestored:
 		c.restored.mark = 0
+	case strings.HasPrefix(key, booking.Prefix):
+		c.desk.Drop(key)
 	case strings.HasPrefix(key, keyJob):
 		c.moved(key[len(keyJob):], mark)
 	}
--- a/core/form.go
+++ b/core/form.go
@@ -24,9 +24,10 @@
 	formHistory = 2 // ended jobs may have moved into the archive
 	formAudit   = 4 // values carry entries of the audit record
 	formShared  = 5 // records are numbered, and entries of shared values count on top of them
+	formBooking = 6 // bookings of equipment
 
 	// Form is the newest form that this version knows.
-	Form = formShared
+	Form = formBooking
 )
 
 const (
--- a/core/types.go
+++ b/core/types.go
@@ -8,6 +8,7 @@
 
 	"dewlift/access"
 	"dewlift/audit"
+	"dewlift/booking"
 	"dewlift/ccs"
 	pb "dewlift/proto"
 	"dewlift/wire"
@@ -75,6 +76,7 @@
 	RentAhead    time.Duration     // from a need to the rental, and from a boot to the first start
 	Access       *access.Policy    // rights where the state service has none; nil: none, and everyone may do everything
 	SharedValues bool              // small jobs share values
+	Equipment    *booking.Site     // what can be booked where the state service has no list; nil: nothing
 	Archive      bool              // ended jobs may move into the archive
 	EndedKept    int               // of the ended jobs, those of late that stay in memory and keep their records
 	HistoryCache int               // bytes of blocks that are remembered
@@ -156,6 +158,25 @@
 		Req uint64
 		By  Cred
 	}
+	// Book asks for a booking, or changes one.
+	Book struct {
+		Req  uint64
+		By   Cred
+		Verb booking.Verb
+		Ask  wire.BookingAsk
+	}
+	// ShowBookings asks about bookings.
+	ShowBookings struct {
+		Req   uint64
+		By    Cred
+		Query wire.BookingQuery
+	}
+	// Equip puts another list of equipment in force.
+	Equip struct {
+		Req  uint64
+		By   Cred
+		Edit wire.EquipmentEdit
+	}
 	// Beat is a worker's report to this controller.
 	Beat struct {
 		Req    uint64
@@ -239,19 +260,23 @@
 func (ShowRights) input() {}
 func (ReadAudit) input()  {}
 func (Refused) input()    {}
-func (Check) input()      {}
-func (Beat) input()       {}
-func (Seen) input()       {}
-func (Ordered) input()    {}
-func (Committed) input()  {}
-func (Changed) input()    {}
-func (Loaded) input()     {}
-func (Scanned) input()    {}
-func (Leased) input()     {}
-func (Clouded) input()    {}
-func (FromPeer) input()   {}
-func (Clock) input()      {}
-func (Strain) input()     {}
+func (Book) input()       {}
+func (Equip) input()      {}
+
+func (ShowBookings) input() {}
+func (Check) input()        {}
+func (Beat) input()         {}
+func (Seen) input()         {}
+func (Ordered) input()      {}
+func (Committed) input()    {}
+func (Changed) input()      {}
+func (Loaded) input()       {}
+func (Scanned) input()      {}
+func (Leased) input()       {}
+func (Clouded) input()      {}
+func (FromPeer) input()     {}
+func (Clock) input()        {}
+func (Strain) input()       {}
 
 // Outputs.
 type (
@@ -315,6 +340,8 @@
 	}
 	// Rights are those in force, for the edges: they tell from them whose token it is.
 	Rights struct{ Policy *access.Policy }
+	// Bookings tells the edges whether something can be booked.
+	Bookings struct{ Open bool }
 	// Note is a line for the log.
 	Note struct {
 		Level string
@@ -334,7 +361,10 @@
 func (CloudOp) output() {}
 func (ToPeer) output()  {}
 func (Rights) output()  {}
-func (Note) output()    {}
+
+func (Bookings) output() {}
+
+func (Note) output() {}
 
 // Msg is a message between controllers. Exactly the fields that are set count.
 type Msg struct {
--- /dev/null
+++ b/internal/sim/booking.go
@@ -0,0 +1,429 @@
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"dewlift/booking"
+	"dewlift/core"
+	desk "dewlift/core/booking"
+	pb "dewlift/proto"
+	"dewlift/wire"
+)
+
+// bookings are the equipment of a world, what its users were told, and what is stored. What is stored is checked after each write, by
+// code of its own that looks at every pair of bookings.
+type bookings struct {
+	w     *World
+	site  *booking.Site
+	last  map[string]*pb.Booking // as it is stored
+	told  map[string]told
+	asked map[string][][]string // by booking: all sets of slots that it was ever asked to have
+	ends  map[string]bool       // whose end was asked for
+	list  bool                  // the list of equipment was changed: bookings may have been ended with it
+	hist  []porcupine.Operation
+	ended map[string]int // how many bookings came to which state, for tests to see that something happened
+	n     int
+
+	pages, merged int // values that hold bookings, and how often they became fewer
+}
+
+// told is what users know of a booking.
+type told struct {
+	state string
+	at    time.Duration // when they were told first
+}
+
+// equipment of a world: one kiln that is to cool, two that are alike, a roaster; all are always open.
+func equipment(more string) *booking.Site {
+	s, err := booking.Parse([]byte(`pieces { name: "k1" kind: "kiln" slot_minutes: 60 cool_minutes: 30 }
+pieces { name: "k2" kind: "kiln" units: 2 slot_minutes: 60 }
+pieces { name: "r" kind: "roaster" slot_minutes: 30 }` + more))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func newBookings(w *World) *bookings {
+	return &bookings{w: w, site: equipment(""), last: map[string]*pb.Booking{}, told: map[string]told{}, asked: map[string][][]string{}, ends: map[string]bool{}, ended: map[string]int{}}
+}
+
+// books reports whether a transaction writes bookings.
+func books(t wire.Txn) bool {
+	return slices.ContainsFunc(t.Then, func(x wire.Write) bool { return strings.HasPrefix(x.Put+x.Delete, desk.Prefix) })
+}
+
+func uses(b *pb.Booking) bool {
+	return b != nil && (b.State == pb.BookingState_held || b.State == pb.BookingState_confirmed)
+}
+
+// stored checks what the state service holds after a write.
+func (k *bookings) stored(keys map[string]*wire.Item) {
+	now := map[string]*pb.Booking{}
+	pages := 0
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		if !strings.HasPrefix(key, desk.Prefix) || key == desk.KeyList {
+			continue
+		}
+		pages++
+		p, _, err := desk.Decode(keys[key].Value)
+		if err != nil {
+			k.w.Check.broken("booking", "%s: %v", key, err)
+		}
+		for _, b := range p.GetBookings() {
+			if o := now[b.Id]; o == nil || o.Change < b.Change {
+				now[b.Id] = b
+			}
+		}
+	}
+	if pages < k.pages {
+		k.merged++
+	}
+	k.pages = pages
+	k.check(k.last, now)
+	k.last = now
+}
+
+// check compares what was stored before a write with what is after it.
+func (k *bookings) check(was, now map[string]*pb.Booking) {
+	broken := k.w.Check.broken
+	ids := slices.Sorted(maps.Keys(now))
+	for _, id := range slices.Sorted(maps.Keys(was)) {
+		o, b := was[id], now[id]
+		switch {
+		case b == nil || b.Change < o.Change:
+			broken("booking_lost", "%s was stored as %v and is %v", id, o, b)
+		case o.State == pb.BookingState_ended && b.State != o.State:
+			broken("booking_back", "%s had ended and is %s", id, b.State)
+		case o.State == pb.BookingState_confirmed && b.State != o.State && (b.State != pb.BookingState_ended || !k.ends[id] && !k.list):
+			broken("booking_back", "%s was confirmed and is %s, nobody asked for it", id, b.State)
+		}
+	}
+	var got []*pb.Booking // those that were given slots
+	for i, id := range ids {
+		b := now[id]
+		if o := was[id]; o == nil || o.State != b.State {
+			k.ended[b.State.String()]++
+		}
+		if !uses(b) {
+			continue
+		}
+		if o := was[id]; !uses(o) {
+			got = append(got, b)
+		}
+		k.whole(b)
+		for _, other := range ids[i:] {
+			if c := now[other]; uses(c) && k.meet(b, c) {
+				broken("double_booked", "%v and %v", b, c)
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(now)) {
+		b, o := now[id], was[id]
+		if o == nil || b.State != pb.BookingState_waiting || o.State != b.State {
+			continue
+		}
+		// What it waits for was not to be had beside those before it when anybody who comes after it got something, nor is it now.
+		left := map[string]*pb.Booking{}
+		for _, id := range ids {
+			if c := was[id]; uses(c) && uses(now[id]) {
+				left[id] = c
+			}
+		}
+		later := false
+		for _, g := range got {
+			if g.Rank > b.Rank || g.Rank == b.Rank && g.Made > b.Made {
+				later = true
+			} else {
+				left[g.Id] = g
+			}
+		}
+		if later && k.could(left, b) || k.could(now, b) && !k.list {
+			broken("overtaken", "%v could have what it waits for, given are %v", b, got)
+		}
+	}
+}
+
+// meet reports whether two bookings have a unit at the same time; of one booking, whether it has one twice.
+func (k *bookings) meet(a, b *pb.Booking) bool {
+	for i, x := range a.Slots {
+		for j, y := range b.Slots {
+			if (a != b || i != j) && x.Piece == y.Piece && x.Unit == y.Unit && x.From < y.Clear && y.From < x.Clear {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// whole checks that a booking has all that was asked for at one time.
+func (k *bookings) whole(b *pb.Booking) {
+	var has []string
+	for _, x := range b.Slots {
+		has = append(has, fmt.Sprintf("%s %d %d", k.site.Kind(x.Piece), x.From, x.To))
+	}
+	if !slices.ContainsFunc(k.asked[b.Id], func(w []string) bool { return slices.Equal(w, has) }) {
+		k.w.Check.broken("half_booked", "%v has %v, asked for was %v", b, has, k.asked[b.Id])
+	}
+}
+
+// could reports whether a booking that waits for one slot could have it beside others.
+func (k *bookings) could(others map[string]*pb.Booking, b *pb.Booking) bool {
+	if len(b.Wants) != 1 || b.Wants[0].From <= k.unix() {
+		return false
+	}
+	w := b.Wants[0]
+	for _, p := range k.site.Source().Pieces {
+		if p.Name != w.Piece && p.Kind != w.Kind {
+			continue
+		}
+		for u := uint32(1); u <= max(1, p.Units); u++ {
+			x := &pb.Slot{Piece: p.Name, Unit: u, From: w.From, Clear: w.From + int64(w.Slots*p.SlotMinutes+p.CoolMinutes)*60}
+			free := true
+			for _, o := range others {
+				free = free && !(uses(o) && k.meet(&pb.Booking{Slots: []*pb.Slot{x}}, o))
+			}
+			if free {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (k *bookings) unix() int64 { return startMS/1000 + int64(k.w.now.Seconds()) - 1 }
+
+// answered checks an answer about a booking that was asked for at began.
+func (k *bookings) answered(began time.Duration, id string, r core.Reply) *wire.Booking {
+	a, _ := r.Body.(wire.BookingAnswer)
+	t, known := k.told[id]
+	broken := k.w.Check.broken
+	if r.Status == 404 && known && began >= t.at {
+		broken("booking_lost", "%s was called %s and is unknown", id, t.state)
+	}
+	b := a.Booking
+	if b == nil || b.ID != id || r.Status >= 300 && r.Status != 409 {
+		return nil
+	}
+	if known && began >= t.at {
+		switch {
+		case t.state == "ended" && b.State != t.state:
+			broken("booking_back", "%s was told to have ended and is %s", id, b.State)
+		case t.state == "confirmed" && (b.State == "held" || b.State == "waiting"):
+			broken("booking_back", "%s was told to be confirmed and is %s", id, b.State)
+		}
+	}
+	if s := k.last[id]; s == nil {
+		broken("booking_lost", "%s is called %s and is not stored", id, b.State)
+	}
+	if !known || t.state != b.State && began >= t.at {
+		k.told[id] = told{b.State, k.w.now}
+	}
+	return b
+}
+
+// ask sends a request about a booking until an answer decides it.
+func (k *bookings) ask(id string, in func(req uint64) core.Input, then func(r core.Reply, b *wire.Booking)) {
+	w := k.w
+	began := w.now
+	w.ask(w.nodes[w.rng.IntN(len(w.nodes))], 2*time.Second, in, func(r core.Reply, ok bool) {
+		if ok {
+			b := k.answered(began, id, r)
+			if r.Status != 503 {
+				then(r, b)
+				return
+			}
+		}
+		w.after(w.between(300*time.Millisecond, 2*time.Second), func() { k.ask(id, in, then) })
+	})
+}
+
+func (k *bookings) clock(t int64) string { return time.Unix(t, 0).UTC().Format(time.RFC3339) }
+
+// wish is a slot or a few, close together, so that many want the same.
+func (k *bookings) wish() (ask []wire.BookingWant) {
+	w := k.w
+	hour := (startMS/1000/3600 + 30) * 3600
+	for range 1 + w.rng.IntN(4)/3*(1+w.rng.IntN(2)) {
+		x := wire.BookingWant{From: k.clock(hour + 3600*int64(w.rng.IntN(12))), Slots: uint32(1 + w.rng.IntN(2))}
+		switch w.rng.IntN(4) {
+		case 0:
+			x.Piece = "k1"
+		case 1:
+			x.Piece = "k2"
+		case 2:
+			x.Kind = "kiln"
+		case 3:
+			x.Piece = "r"
+		}
+		ask = append(ask, x)
+	}
+	return ask
+}
+
+// wants notes what a booking is asked to have.
+func (k *bookings) wants(id string, list []wire.BookingWant) {
+	wants, err := desk.Wants(k.site, list, "")
+	if err != nil {
+		panic(err)
+	}
+	var has []string
+	for _, x := range wants {
+		minutes := int64(60)
+		kind := k.site.KindOf(x)
+		if kind == "roaster" {
+			minutes = 30
+		}
+		has = append(has, fmt.Sprintf("%s %d %d", kind, x.From, x.From+int64(x.Slots)*minutes*60))
+	}
+	k.asked[id] = append(k.asked[id], has)
+}
+
+// bookers are users who book the same few hours of the same few pieces, repeat themselves, move, confirm, end and ask.
+func (w *World) bookers() {
+	k := w.booked
+	for i := range w.opt.Bookers {
+		w.after(w.between(2*time.Second, w.opt.Length*3/4), func() { k.booker(fmt.Sprintf("b%03d", i)) })
+	}
+	for i := range w.opt.Bookers / 2 {
+		w.after(w.between(2*time.Second, w.opt.Length*3/4), func() { k.register(fmt.Sprintf("s%03d", i)) })
+	}
+	if w.opt.Bookers > 20 { // the list is changed in the middle: a kiln is out of order, and back
+		w.after(w.opt.Length/3, func() { k.equip(` pieces { name: "spare" kind: "kiln" slot_minutes: 60 out: 1 }`, false) })
+		w.after(w.opt.Length/2, func() { k.equip("", true) })
+	}
+}
+
+func (k *bookings) equip(more string, end bool) {
+	text := equipment(more).Source().String()
+	k.list = k.list || end
+	k.ask("", func(req uint64) core.Input {
+		return core.Equip{Req: req, Edit: wire.EquipmentEdit{Text: text, End: end, Why: "the kiln is out of order"}}
+	}, func(r core.Reply, _ *wire.Booking) {
+		if r.Status != 200 && r.Status != 409 {
+			k.w.Check.broken("booking", "a list of equipment got %d: %v", r.Status, r.Body)
+		}
+	})
+}
+
+func (k *bookings) booker(id string) {
+	w := k.w
+	a := wire.BookingAsk{ID: id, Slots: k.wish(), Wait: w.chance(0.5)}
+	if w.chance(0.4) {
+		a.HoldS = uint32(2 + w.rng.IntN(30))
+	}
+	a.Priority = wire.PriorityName(w.rng.IntN(3))
+	k.wants(id, a.Slots)
+	send := func(verb booking.Verb, a wire.BookingAsk, then func(r core.Reply, b *wire.Booking)) {
+		k.ask(id, func(req uint64) core.Input { return core.Book{Req: req, Verb: verb, Ask: a} }, then)
+	}
+	var life func()
+	life = func() {
+		w.after(w.between(500*time.Millisecond, 12*time.Second), func() {
+			switch w.rng.IntN(6) {
+			case 0:
+				send(booking.Confirm, wire.BookingAsk{ID: id}, func(core.Reply, *wire.Booking) { life() })
+			case 1:
+				next := wire.BookingAsk{ID: id, Slots: k.wish()}
+				k.wants(id, next.Slots)
+				send(booking.Move, next, func(core.Reply, *wire.Booking) { life() })
+			case 2:
+				k.ends[id] = true
+				send(booking.End, wire.BookingAsk{ID: id, Why: "done with it"}, func(core.Reply, *wire.Booking) { life() })
+			case 3: // a repeat
+				send(booking.Make, a, func(core.Reply, *wire.Booking) { life() })
+			default:
+				k.ask(id, func(req uint64) core.Input { return core.ShowBookings{Req: req, Query: wire.BookingQuery{ID: id}} },
+					func(core.Reply, *wire.Booking) { life() })
+			}
+		})
+	}
+	send(booking.Make, a, func(r core.Reply, _ *wire.Booking) {
+		switch r.Status {
+		case 200, 201:
+			life()
+		case 409:
+		default:
+			w.Check.broken("booking", "%s got %d: %v", id, r.Status, r.Body)
+		}
+	})
+}
+
+// slotOp is an operation on one slot of one unit, for the check that there is an order of all operations that explains all answers.
+type slotOp struct {
+	slot, id string
+	end      bool
+}
+
+// register is a user who makes a booking of one slot that others want too, and ends it.
+func (k *bookings) register(id string) {
+	w := k.w
+	slot := k.clock((startMS/1000/3600 + 200 + 2*int64(w.rng.IntN(3))) * 3600)
+	k.wants(id, []wire.BookingWant{{Piece: "k1", From: slot}})
+	op := func(end bool, in func(req uint64) core.Input, then func()) {
+		call := w.now
+		k.n++
+		client := k.n
+		k.ask(id, in, func(r core.Reply, b *wire.Booking) {
+			out := "none"
+			if b != nil {
+				out = b.State
+			}
+			k.hist = append(k.hist, porcupine.Operation{ClientId: client, Input: slotOp{slot, id, end}, Call: int64(call), Output: out, Return: int64(w.now)})
+			then()
+		})
+	}
+	make := func(req uint64) core.Input {
+		return core.Book{Req: req, Verb: booking.Make, Ask: wire.BookingAsk{ID: id, Slots: []wire.BookingWant{{Piece: "k1", From: slot}}}}
+	}
+	end := func(req uint64) core.Input {
+		k.ends[id] = true
+		return core.Book{Req: req, Verb: booking.End, Ask: wire.BookingAsk{ID: id}}
+	}
+	op(false, make, func() {
+		w.after(w.between(time.Second, 10*time.Second), func() {
+			op(true, end, func() { w.after(w.between(0, 5*time.Second), func() { op(false, make, func() {}) }) })
+		})
+	})
+}
+
+// slotModel is one slot: who has it, and whose bookings of it have ended.
+var slotModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) (out [][]porcupine.Operation) {
+		by := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			in := o.Input.(slotOp)
+			by[in.slot] = append(by[in.slot], o)
+		}
+		for _, slot := range slices.Sorted(maps.Keys(by)) {
+			out = append(out, by[slot])
+		}
+		return out
+	},
+	Init: func() any { return "|" },
+	Step: func(state, input, output any) (bool, any) {
+		has, ended, _ := strings.Cut(state.(string), "|")
+		in, out := input.(slotOp), output.(string)
+		over := strings.Contains(ended, in.id)
+		switch {
+		case over:
+			return out == "ended", state
+		case in.end && has == in.id:
+			return out == "ended", "|" + ended + in.id
+		case in.end, has != "" && has != in.id:
+			return out == "none", state
+		}
+		return out == "confirmed", in.id + "|" + ended
+	},
+}
+
+// Linear reports whether one order of all operations on single slots explains their answers.
+func (k *bookings) Linear() porcupine.CheckResult {
+	return porcupine.CheckOperationsTimeout(slotModel, k.hist, 20*time.Second)
+}
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -183,6 +183,9 @@
 			s.log = append(s.log, wire.Event{Delete: w.Delete, Mark: s.ledger})
 		}
 	}
+	if books(t) {
+		s.w.booked.stored(s.keys)
+	}
 	s.wake()
 	return 200, wire.TxnReply{Ledger: s.ledger}
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -27,6 +27,7 @@
 	Audit    bool // what is done is recorded
 	Shared   bool // small jobs share values
 	History  bool // ended jobs move into the archive, nearly at once
+	Bookers  int  // users who book equipment
 }
 
 type node struct {
@@ -58,6 +59,7 @@
 	teams []core.Team
 
 	recorder *recorder
+	booked   *bookings
 	Trace    func(string, ...any)
 	Seen     func(node string, o core.Output) // is shown every output of a controller
 }
@@ -82,6 +84,7 @@
 	w.recorder = newRecorder(w.Check, func() time.Duration { return w.now })
 	w.state = newState(w)
 	w.cloud = newCloud(w)
+	w.booked = newBookings(w)
 	for i := 0; i < opt.Nodes; i++ {
 		n := &node{name: fmt.Sprintf("n%d", i), slip: time.Duration(w.rng.IntN(5000)) * time.Millisecond}
 		w.nodes = append(w.nodes, n)
@@ -114,6 +117,9 @@
 	if w.opt.Audit {
 		w.readers()
 	}
+	if w.opt.Bookers > 0 {
+		w.bookers()
+	}
 	if !w.opt.Quiet {
 		w.troubles()
 	}
@@ -159,6 +165,9 @@
 	if w.opt.History {
 		cfg.Archive, cfg.EndedKept, cfg.HistoryCache = true, 1+int(w.opt.Seed%4), 1<<10
 	}
+	if w.opt.Bookers > 0 && !n.old {
+		cfg.Equipment, cfg.ValueBytes = w.booked.site, 640 // so that there are many pages
+	}
 	if w.opt.Upgrade && !n.old {
 		cfg.ValueBytes, cfg.TxnOps, cfg.NextWriteRPS = next.value, next.ops, next.rate
 	}
@@ -248,6 +257,17 @@
 		if w.opt.Audit && records(o.Txn) {
 			late = 0.06
 		}
+		if books(o.Txn) { // likewise, and often the last that their sender did
+			late = 0.06
+			if !w.opt.Quiet && w.chance(0.01) {
+				w.Trace("%v crash %s in a booking", w.now, n.name)
+				w.after(w.between(0, 12*time.Millisecond), func() {
+					if n.life == life && !n.down {
+						w.crash(n)
+					}
+				})
+			}
+		}
 		if moves(o.Txn) { // rare elsewhere: here often late, or the last that their sender did
 			late = 0.15
 			if !w.opt.Quiet && w.chance(0.04) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -82,6 +82,9 @@
 // PriorityStandard is the index of the priority that needs no right of its own.
 const PriorityStandard = 2
 
+// PriorityLeast is the index of the least important one.
+const PriorityLeast = 3
+
 // Priority is the index of a priority's name; 0 is the most important.
 func Priority(name string) (int, bool) {
 	i := slices.Index(priorities, name)
