--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -3,24 +3,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"dewlift"
 	"dewlift/audit"
 	"dewlift/secure"
 	"dewlift/settings"
-	"dewlift/wire"
 )
 
 const version = "0.1.0"
@@ -44,6 +40,31 @@
 // files are those that turn something on.
 type files struct{ access, secure, booking string }
 
+// check reads all files that are named, and the operators' own settings.
+func (on *files) check(tuning string) error {
+	if _, err := settings.LoadTuning(tuning); err != nil {
+		return err
+	}
+	if on.access != "" {
+		if _, err := loadAccess(on.access); err != nil {
+			return err
+		}
+	}
+	if on.booking != "" {
+		if _, err := loadEquipment(on.booking); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// flags are those that name the files.
+func (on *files) flags(f *pflag.FlagSet) {
+	f.StringVar(&on.access, "access", os.Getenv("DEWLIFT_ACCESS"), "the site's first rights (protobuf text format)")
+	f.StringVar(&on.secure, "tls", os.Getenv("DEWLIFT_TLS"), "files of certificates and keys (protobuf text format)")
+	f.StringVar(&on.booking, "booking", os.Getenv("DEWLIFT_BOOKING"), "the site's first list of equipment that can be booked (protobuf text format)")
+}
+
 func root() *cobra.Command {
 	var config, tuning string
 	var on files
@@ -57,10 +78,10 @@
 	}
 	cmd.PersistentFlags().StringVar(&config, "config", "", "the platform's settings file (JSON)")
 	cmd.PersistentFlags().StringVar(&tuning, "tuning", os.Getenv("DEWLIFT_TUNING"), "the operators' own settings (protobuf text format)")
-	cmd.Flags().StringVar(&on.access, "access", os.Getenv("DEWLIFT_ACCESS"), "the site's first rights (protobuf text format)")
-	cmd.Flags().StringVar(&on.secure, "tls", os.Getenv("DEWLIFT_TLS"), "files of certificates and keys (protobuf text format)")
-	cmd.Flags().StringVar(&on.booking, "booking", os.Getenv("DEWLIFT_BOOKING"), "the site's first list of equipment that can be booked (protobuf text format)")
+	on.flags(cmd.Flags())
 	me.flags(cmd.PersistentFlags())
+	demo := demoCommand(&on, &tuning)
+	on.flags(demo.Flags())
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the settings", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -76,53 +97,10 @@
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dewlift "+version) },
-	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me), bookingCommand(me), settingsCommand())
+	}, jobCommand(me), snapshotCommand(&config, me), accessCommand(me), keyCommand(me), auditCommand(me), bookingCommand(me), demo, settingsCommand())
 	return cmd
 }
 
-func jobCommand(me *self) *cobra.Command {
-	var server string
-	job := &cobra.Command{Use: "job", Short: "Look at jobs"}
-	get := &cobra.Command{
-		Use: "get ID", Short: "Show a job and why its tasks stopped", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if !wire.ValidJobID(args[0]) {
-				return fmt.Errorf("not a job id: %q", args[0])
-			}
-			r, err := me.ask(cmd.Context(), http.MethodGet, server, wire.PathJobs+"/"+args[0], nil)
-			if err != nil {
-				return err
-			}
-			if r.Err != nil {
-				return r.Err
-			}
-			if r.Status != http.StatusOK {
-				return fmt.Errorf("%s: status %d: %s", args[0], r.Status, r.Body)
-			}
-			var s wire.JobState
-			if err := json.Unmarshal(r.Body, &s); err != nil {
-				return fmt.Errorf("answer not understood: %w", err)
-			}
-			out := cmd.OutOrStdout()
-			fmt.Fprintf(out, "%s: %s, %d done, %d running\n", s.ID, s.Stage, s.Done, s.Running)
-			if s.AwaitsCount > 0 {
-				fmt.Fprintf(out, "  waits for %d jobs: %s\n", s.AwaitsCount, strings.Join(s.Awaits, " "))
-			}
-			if s.CancelledBy != "" {
-				fmt.Fprintf(out, "  cancelled with %s, which it needs\n", s.CancelledBy)
-			}
-			for _, w := range s.Reasons {
-				fmt.Fprintf(out, "  task %d stopped on %s at %s: %s\n", w.Task, w.Machine,
-					time.UnixMilli(w.AtMS).UTC().Format(time.RFC3339), w.Cause)
-			}
-			return nil
-		},
-	}
-	get.Flags().StringVar(&server, "server", "127.0.0.1:8080", "address of a controller")
-	job.AddCommand(get)
-	return job
-}
-
 func run(ctx context.Context, config, tuning string, on files) error {
 	if config == "" {
 		return fmt.Errorf("--config FILE is needed")
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// Value is a key's value, nil if there is none.
+func (s *State) Value(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, _ := s.keys.Get(wire.Item{Key: key})
+	return it.Value
+}
+
 // Keys counts the keys with a prefix, and the bytes of their names and values.
 func (s *State) Keys(prefix string) (n, bytes int) {
 	s.mu.Lock()
