--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"dewlift/wire"
@@ -22,6 +24,7 @@
 	next     map[string][]*truth // jobs that await a job
 	rights   map[string]right
 	Starts   int
+	calmFrom time.Duration // all troubles are over since; 0: they never are
 }
 
 // truth is what the users know of a job.
@@ -37,6 +40,8 @@
 	done       map[int]bool   // tasks completed on a worker
 	zones      map[string]int // tasks on machines by zone
 	on         int            // tasks on machines
+	began      time.Duration  // when a task of it started first
+	vain       time.Duration  // the first question about it that was not answered, since the last that was and all troubles are over
 	doomed     bool           // a job that it needs was called cancelled
 	doomedAt   time.Duration  // when its user was told so
 }
@@ -170,6 +175,9 @@
 	if k.on[name] == nil {
 		k.on[name] = map[string]bool{}
 	}
+	if j.began == 0 {
+		j.began = max(1, now)
+	}
 	s := &j.spec
 	for _, id := range s.Awaits {
 		if o := k.jobs[id]; o == nil || len(o.done) < o.spec.Tasks {
@@ -229,6 +237,67 @@
 	}
 }
 
+// Heard notes whether a question about a job was answered: with its state, or that there is none.
+func (k *Checker) Heard(began, now time.Duration, id string, status int) {
+	j := k.jobs[id]
+	if j == nil || !j.accepted || k.calmFrom == 0 || began < k.calmFrom {
+		return
+	}
+	switch {
+	case status == 200 || status == 201 || status == 404:
+		j.vain = 0
+	case j.vain == 0:
+		j.vain = began
+	case now-j.vain >= forgottenAfter:
+		k.broken("forgotten", "%s: no question about it was answered for %v", id, now-j.vain)
+	}
+}
+
+// By which the operators judge: in their words in the issue and in LATER.md.
+const (
+	forgottenAfter = 75 * time.Second
+	beginWithin    = 4 * time.Minute
+)
+
+// served checks that of each class and team, and of the largest jobs of each class, at least half began, and that the largest began in time.
+func (k *Checker) served(now time.Duration) {
+	type count struct{ jobs, began int }
+	groups := map[string]*count{}
+	largest := map[string]int{}
+	for _, j := range k.jobs {
+		largest[j.spec.Class] = max(largest[j.spec.Class], j.spec.Tasks)
+	}
+	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
+		j := k.jobs[id]
+		if !j.accepted || j.asked || j.doomed || k.causes(j) || j.acceptedAt > k.calmFrom {
+			continue
+		}
+		names := []string{"class " + j.spec.Class, "team " + j.spec.Team}
+		if j.spec.Tasks == largest[j.spec.Class] {
+			names = append(names, "the largest of class "+j.spec.Class)
+			if began := j.began; began-j.acceptedAt > beginWithin || began == 0 && now-j.acceptedAt > beginWithin {
+				k.broken("late_largest", "%s of %d tasks was accepted at %v and began at %v", id, j.spec.Tasks, j.acceptedAt, began)
+			}
+		}
+		for _, name := range names {
+			g := groups[name]
+			if g == nil {
+				g = &count{}
+				groups[name] = g
+			}
+			g.jobs++
+			if j.began != 0 {
+				g.began++
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		if g := groups[name]; 2*g.began < g.jobs {
+			k.broken("unserved", "%s: %d of %d jobs began", name, g.began, g.jobs)
+		}
+	}
+}
+
 // Completed notes that a task completed on a worker.
 func (k *Checker) Completed(id string, task int) {
 	if j := k.jobs[id]; j != nil {
@@ -247,7 +316,10 @@
 }
 
 // Finish checks what must have happened.
-func (k *Checker) Finish() {
+func (k *Checker) Finish(now time.Duration) {
+	if k.calmFrom != 0 {
+		k.served(now)
+	}
 	if k.Starts == 0 {
 		k.broken("nothing_ran", "no task was started")
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -73,6 +73,49 @@
 	}
 }
 
+// Controllers that end around a write, or five times within three seconds, are back within a second, before their former life's lease, streams and
+// transactions have ended; copies of what they sent and wrote come late. Then all is calm: nothing may be forgotten, and all are served.
+func TestRulesHoldWhenProcessesFlap(t *testing.T) {
+	for seed := uint64(1); seed <= 24; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			o := Options{Seed: seed, Length: 420 * time.Second, Jobs: 40, Tasks: 6, Flap: true, Nodes: []int{3, 5}[seed%2], Shared: seed%3 == 0,
+				History: seed%4 == 0, Chains: int(seed % 3)}
+			w := play(t, o)
+			t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+		})
+	}
+}
+
+// Each rule by which the operators judge a day breaks on a step that is wrong.
+func TestCheckerOfDaysFires(t *testing.T) {
+	for rule, step := range map[string]func(k *Checker){
+		"forgotten": func(k *Checker) {
+			for at := 110 * time.Second; at < 200*time.Second; at += 5 * time.Second {
+				k.Heard(at, at+2*time.Second, "wk-000001", 503)
+				k.Heard(at, at+2*time.Second, "wk-000002", 200) // others fare well
+			}
+		},
+		"unserved": func(k *Checker) { k.Finish(200 * time.Second) },
+		"late_largest": func(k *Checker) {
+			k.jobs["wk-000001"].began = 300 * time.Second
+			k.jobs["wk-000002"].began = 1
+			k.Finish(400 * time.Second)
+		},
+	} {
+		k := NewChecker(cancelIn, nil)
+		k.calmFrom, k.Starts = 100*time.Second, 1
+		for i, id := range []string{"wk-000001", "wk-000002"} {
+			k.Submitted(wire.Spec{ID: id, Class: "c", Team: "t0", Tasks: 3 - i})
+			k.Answered(time.Second, time.Second, "submit", id, 201, wire.StageQueued)
+		}
+		step(k)
+		if len(k.Broken) == 0 || !strings.HasPrefix(k.Broken[0], rule+":") {
+			t.Errorf("%s: broken are %v", rule, k.Broken)
+		}
+	}
+}
+
 // The version in production is replaced process by process, in troubles; then the limits of the
 // state service fall, and users submit pipelines.
 func TestRulesHoldThroughAnUpgrade(t *testing.T) {
@@ -217,7 +260,7 @@
 			k.LetIn(1, "u", "poll", "wk-1") // asked for before
 			k.LetIn(3, "u", "poll", "wk-1")
 		},
-		"nothing_ran": func(k *Checker) { k.Finish() },
+		"nothing_ran": func(k *Checker) { k.Finish(0) },
 		"too_early":   func(k *Checker) { k.Submitted(after); k.Completed("wk-1", 0); k.On(0, "wk-2", 0, m1) },
 		"orphaned": func(k *Checker) {
 			k.Submitted(after)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -28,6 +28,7 @@
 	Shared   bool // small jobs share values
 	History  bool // ended jobs move into the archive, nearly at once
 	Bookers  int  // users who book equipment
+	Flap     bool // what ends is back within a second, with late copies of what it did; then it is calm, and what is forgotten shows
 }
 
 type node struct {
@@ -135,7 +136,7 @@
 			return
 		}
 	}
-	w.Check.Finish()
+	w.Check.Finish(w.now)
 	w.checkKept()
 	if w.opt.Audit {
 		w.recorder.Finish(w.state.keys)
@@ -204,7 +205,11 @@
 	n.down = true
 	n.life++
 	n.core = nil
-	w.after(w.between(time.Second, 6*time.Second), func() {
+	away := w.between(time.Second, 6*time.Second)
+	if w.opt.Flap {
+		away = w.between(0, 900*time.Millisecond)
+	}
+	w.after(away, func() {
 		if n.down {
 			w.boot(n)
 		}
@@ -244,16 +249,23 @@
 				continue
 			}
 			p := p
-			w.send(n.name, p.name, func() {
+			arrive := func() {
 				if !p.down {
 					w.step(p, core.FromPeer{Peer: n.name, Msg: o.Msg})
 				}
-			})
+			}
+			w.send(n.name, p.name, arrive)
+			if w.opt.Flap && w.chance(0.01) { // it comes once more, perhaps when its sender or receiver has ended and is back
+				w.after(w.between(0, 3*time.Second), arrive)
+			}
 		}
 	case core.Commit:
 		out := core.Committed{ID: o.ID}
 		w.checkForms(n, o.Txn)
 		late := 0.01
+		if w.opt.Flap {
+			w.flap(n, o.Txn)
+		}
 		if w.opt.Audit && records(o.Txn) {
 			late = 0.06
 		}
@@ -409,7 +421,12 @@
 
 // troubles plans failures, alone and together.
 func (w *World) troubles() {
-	for at := 10 * time.Second; at < w.opt.Length-30*time.Second; at += w.between(3*time.Second, 15*time.Second) {
+	calm := 30 * time.Second
+	if w.opt.Flap {
+		calm = flapCalm
+		w.Check.calmFrom = w.opt.Length - calm + 26*time.Second // no trouble lasts longer
+	}
+	for at := 10 * time.Second; at < w.opt.Length-calm; at += w.between(3*time.Second, 15*time.Second) {
 		at := at
 		w.after(at, func() { w.trouble() })
 	}
@@ -418,6 +435,17 @@
 func (w *World) trouble() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	d := w.between(2*time.Second, 25*time.Second)
+	if w.opt.Flap && w.chance(0.3) {
+		w.Trace("%v %s ends five times", w.now, n.name)
+		for range 5 { // within three seconds
+			w.after(w.between(0, 3*time.Second), func() {
+				if !n.down {
+					w.crash(n)
+				}
+			})
+		}
+		return
+	}
 	switch w.rng.IntN(13) {
 	case 0:
 		if !n.down {
@@ -466,6 +494,27 @@
 	}
 }
 
+const flapCalm = 140 * time.Second // at the end of a world that flaps
+
+// flap has a controller end around one of its writes, and the write executed once more, late.
+func (w *World) flap(n *node, t wire.Txn) {
+	if w.now > w.opt.Length-flapCalm {
+		return
+	}
+	if w.chance(0.02) {
+		life := n.life
+		w.after(w.between(0, 12*time.Millisecond), func() {
+			if n.life == life && !n.down {
+				w.Trace("%v crash %s in a write", w.now, n.name)
+				w.crash(n)
+			}
+		})
+	}
+	if w.chance(0.05) {
+		w.after(w.between(10*time.Millisecond, 20*time.Second), func() { w.state.commit(n.name, t) })
+	}
+}
+
 func (w *World) cutZones(i, j int, d time.Duration) {
 	w.Trace("%v zones %s and %s cut off from each other %v", w.now, zones[i], zones[j], d)
 	pairs := [][2]string{{w.nodes[i].name, w.nodes[j].name}}
@@ -559,10 +608,14 @@
 }
 
 func (w *World) answered(by core.Cred, began time.Duration, verb, id string, r core.Reply, ok bool) string {
+	if !ok {
+		w.Check.Heard(began, w.now, id, 0)
+	}
 	if !ok || !w.answeredTo(by, began, verb, id, r.Status) {
 		return ""
 	}
 	st, _ := r.Body.(wire.JobState)
+	w.Check.Heard(began, w.now, id, r.Status)
 	w.Check.Answered(began, w.now, verb, id, r.Status, st.Stage)
 	return st.Stage
 }
