--- a/controller_test.go
+++ b/controller_test.go
@@ -17,9 +17,11 @@
 
 	"dewlift/access"
 	"dewlift/archive"
+	"dewlift/booking"
 	"dewlift/core"
 	"dewlift/internal/call"
 	"dewlift/internal/standin"
+	"dewlift/lanes"
 	pb "dewlift/proto"
 	"dewlift/settings"
 	"dewlift/snapshot"
@@ -37,7 +39,7 @@
 }
 
 // serve runs a controller against a state service until the test ends, and waits until it is healthy.
-func serve(t *testing.T, state string, rights *access.Policy) string {
+func serve(t *testing.T, state string, rights *access.Policy, more ...func(*Guards)) string {
 	t.Helper()
 	users, peers := listen(t), listen(t)
 	p := &settings.Platform{Name: "n0", Zone: "a", Listen: users.Addr().String(), MeshAddr: peers.Addr().String()}
@@ -50,7 +52,11 @@
 	tuning.Archive, tuning.HistoryWaitMs, tuning.EndedKept = new(true), new(uint32(0)), new(uint32(20))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	c := New(p, tuning, Guards{Rights: rights}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	g := Guards{Rights: rights}
+	for _, f := range more {
+		f(&g)
+	}
+	c := New(p, tuning, g, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go func() { ended <- c.Serve(ctx, users, peers) }()
 	t.Cleanup(func() {
 		cancel()
@@ -230,3 +236,132 @@
 		t.Error("a queued job ended with its user's right")
 	}
 }
+
+// ask makes a request and decodes its answer.
+func ask[T any](t *testing.T, method, url, body string) (status int, raw string, v T) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = json.Unmarshal(b, &v) // what does not fit shows in the fields
+	return resp.StatusCode, string(b), v
+}
+
+// With no file, the paths of bookings and of the queue are as unknown as any other; with one, a booking is made, held, moved and ended, and outlives its
+// controller.
+func TestBookingsAndQueueOverHTTP(t *testing.T) {
+	s := standin.NewState(standin.Limits{ValueBytes: 8192, Ops: 12, PageItems: 50})
+	s.Types(wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}})
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	state := strings.TrimPrefix(srv.URL, "http://")
+	t.Run("off", func(t *testing.T) {
+		off := standin.NewState(standin.Limits{ValueBytes: 8192, Ops: 12, PageItems: 50})
+		off.Types(wire.MachineType{Name: "x", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}})
+		none := httptest.NewServer(off)
+		t.Cleanup(none.Close)
+		server := serve(t, strings.TrimPrefix(none.URL, "http://"), nil)
+		status, want, _ := ask[any](t, "GET", server+"/v1/nothing", "")
+		for _, path := range []string{wire.PathBookings, wire.PathBookings + "/x", wire.PathEquipment, wire.PathQueue, wire.PathQueue + "/x", wire.PathLanes} {
+			if got, body, _ := ask[any](t, "GET", server+path, ""); got != status || body != want {
+				t.Errorf("%s: %d %s, an unknown path gets %d %s", path, got, body, status, want)
+			}
+		}
+	})
+	on := func(g *Guards) {
+		var err error
+		if g.Equipment, err = booking.Parse([]byte(`pieces { name: "k" kind: "kiln" slot_minutes: 60 cool_minutes: 60 }`)); err != nil {
+			t.Fatal(err)
+		}
+		if g.Lanes, err = lanes.Parse([]byte(`lanes { name: "urgent" priorities: "high" } lanes { name: "rest" }`)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	day := time.Now().UTC().AddDate(0, 0, 3).Format("2006-01-02")
+	type answer = wire.BookingAnswer
+	make := func(server, id, hour, more string) (int, string, answer) {
+		return ask[answer](t, "POST", server+wire.PathBookings, fmt.Sprintf(`{"id":%q,"slots":[{"piece":"k","from":"%sT%s:00"}]%s}`, id, day, hour, more))
+	}
+	t.Run("first life", func(t *testing.T) {
+		server := serve(t, state, nil, on)
+		eventually(t, "open", func() bool { status, _, _ := ask[any](t, "GET", server+wire.PathEquipment, ""); return status == 200 })
+		for i, x := range []struct {
+			status int
+			state  string
+			do     func() (int, string, answer)
+		}{
+			{201, "confirmed", func() (int, string, answer) { return make(server, "a", "08", "") }},
+			{200, "confirmed", func() (int, string, answer) { return make(server, "a", "08", "") }},
+			{409, "confirmed", func() (int, string, answer) { return make(server, "a", "12", "") }},
+			{409, "", func() (int, string, answer) { return make(server, "b", "09", "") }}, // it cools
+			{201, "held", func() (int, string, answer) { return make(server, "b", "10", `,"hold_s":600`) }},
+			{200, "confirmed", func() (int, string, answer) { return ask[answer](t, "POST", server+wire.PathBookings+"/b/confirm", "") }},
+			{200, "confirmed", func() (int, string, answer) {
+				return ask[answer](t, "POST", server+wire.PathBookings+"/b/move", fmt.Sprintf(`{"slots":[{"piece":"k","from":"%sT14:00"}]}`, day))
+			}},
+			{200, "ended", func() (int, string, answer) {
+				return ask[answer](t, "POST", server+wire.PathBookings+"/b/end", `{"why":"cracked"}`)
+			}},
+			{422, "", func() (int, string, answer) {
+				return make(server, "c", "08", `,"slots":[{"piece":"z","from":"`+day+`T08:00"}]`)
+			}},
+			{400, "", func() (int, string, answer) { return make(server, "a b", "08", "") }},
+			{404, "", func() (int, string, answer) { return ask[answer](t, "GET", server+wire.PathBookings+"/nobody", "") }},
+		} {
+			status, body, a := x.do()
+			if status != x.status || (a.Booking == nil) != (x.state == "") || a.Booking != nil && a.Booking.State != x.state {
+				t.Errorf("step %d: %d %s, want %d %s", i, status, body, x.status, x.state)
+			}
+			if status == 409 && x.state == "" && len(a.Free) == 0 {
+				t.Errorf("step %d: nothing is named that is free instead", i)
+			}
+		}
+		status, body, a := ask[answer](t, "POST", server+wire.PathEquipment, `{"equipment":"pieces { name: \"k\" kind: \"kiln\" slot_minutes: 60 out: 1 }"}`)
+		if status != 409 || len(a.Displaced) != 1 || a.Displaced[0].ID != "a" {
+			t.Errorf("a list that has no place for a booking: %d %s", status, body)
+		}
+		for id, heat := range map[string]string{"wk-000001": "standard", "wk-000002": "high"} {
+			job := standin.Job(id, "x")
+			job["heat"] = heat
+			raw, err := json.Marshal(job)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if status, body, _ := ask[any](t, "POST", server+wire.PathJobs, string(raw)); status != 201 {
+				t.Fatalf("%d %s", status, body)
+			}
+		}
+		_, body, q := ask[wire.Queue](t, "GET", server+wire.PathQueue, "")
+		if len(q.Jobs) != 2 || q.Jobs[0].ID != "wk-000002" || q.Jobs[0].Lane != "urgent" || q.Jobs[1].For != "room" {
+			t.Errorf("queue: %s", body)
+		}
+		if _, body, q := ask[wire.Queue](t, "GET", server+wire.PathQueue+"?most=1", ""); len(q.Jobs) != 1 || q.Next != 1 || q.All != 2 {
+			t.Errorf("a page: %s", body)
+		}
+	})
+	// Another process, with no file: what is in force lives in the state service.
+	server := serve(t, state, nil)
+	eventually(t, "open", func() bool {
+		status, _, a := ask[answer](t, "GET", server+wire.PathBookings+"/a", "")
+		return status == 200 && a.Booking.State == "confirmed"
+	})
+	if _, body, a := ask[answer](t, "GET", server+wire.PathBookings+"/b", ""); a.Booking == nil || a.Booking.Why != "cracked" {
+		t.Errorf("one that had ended: %s", body)
+	}
+	if _, body, a := ask[answer](t, "GET", server+wire.PathBookings+"?piece=k&day="+day, ""); len(a.Bookings) != 1 {
+		t.Errorf("the day: %s", body)
+	}
+	if _, body, q := ask[wire.Queue](t, "GET", server+wire.PathQueue+"/wk-000001", ""); len(q.Jobs) != 1 || q.Jobs[0].Number != 2 || q.Jobs[0].Lane != "rest" {
+		t.Errorf("its place: %s", body)
+	}
+}
