Replicas look for room in the zones where they may be: they waited beside hundreds of machines

Half of a job's tasks may be in a zone; the best candidates, twice as many as tasks, were all in the one that had its half, as its machines hold the image. So none was taken, again and again.

Change: machines of a zone that has its half are no candidates, and those that are left over are looked for again when a zone has become full.

--- a/core/crush_test.go
+++ b/core/crush_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dewlift/ccs"
+	"dewlift/core/ledger"
 	"dewlift/core/links"
 	"dewlift/wire"
 )
@@ -79,3 +80,40 @@
 		t.Error("one that can write nothing is waited for")
 	}
 }
+
+// A job may have half of its tasks in a zone. When that zone's machines were the best, as they hold its image, none of the others was looked at,
+// and replicas waited for minutes beside hundreds of machines with room.
+func TestReplicasFindRoomBesideAFullZone(t *testing.T) {
+	for _, held := range []int{0, 1} { // tasks that zone a has already
+		c := New(Config{Form: Form, Name: "n0", Shards: 1, TxnOps: 12, ValueBytes: 8192, WriteRPS: 30, StateRPS: 100, ReportEvery: time.Minute,
+			ProbeRatio: 2, PreferImage: true, CopyExpire: time.Hour}, 0, 1)
+		c.catalog = map[string]*wire.MachineType{"x": {Name: "x", CPUs: 8, MemoryGB: 8, Zones: []string{"a", "b"}}}
+		c.lease, c.leaseUntil = 1, time.Hour
+		array := ccs.NewArray()
+		for i := range 40 {
+			m := c.machine(string(rune('A' + i)))
+			m.up, m.session, m.addr, m.typ, m.zone = true, 1, "x:1", "x", "a"
+			if i >= 20 {
+				m.zone = "b"
+			} else {
+				m.images["i"] = true
+			}
+			array.Seed(m.idx, ccs.Vec{8000, 0, 8000}, ccs.Vec{}, true)
+		}
+		rows, _ := array.Rows(0)
+		c.copy.Replace(c.now, rows, nil)
+		s := &wire.Spec{Service: true, Spread: true, Tasks: 2, Claim: [3]int64{1000, 0, 1000}, Image: "i"}
+		p := &proposal{j: &job{}, rec: &ledger.Record{Spec: s}, spec: s, accept: true}
+		for i := range held {
+			p.place = append(p.place, ledger.Asg{Task: int32(i), Machine: 0, Session: 1})
+		}
+		c.assign(p, &builder{c: c})
+		zones := map[string]int{}
+		for _, a := range p.place {
+			zones[c.machines[a.Machine].zone]++
+		}
+		if zones["a"] != 1 || zones["b"] != 1 {
+			t.Errorf("with %d in zone a: tasks are in %v", held, zones)
+		}
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -1011,10 +1011,21 @@
 		}
 		return t
 	}
+	// A zone that has all of a job's tasks that may be there holds no candidates for it. The best of all candidates were often there, as its machines
+	// hold the image: replicas that a lost zone had taken waited for minutes beside hundreds of machines with room in the others.
+	most := (s.Tasks + 1) / 2
+	full := func() (n int) {
+		for _, k := range zones {
+			if s.Spread && k >= most {
+				n++
+			}
+		}
+		return n
+	}
 	var early time.Duration // until the first room that is another's to take now; 0: there is none
 	allow := ask.Allow
 	ask.Allow = func(i int32) bool {
-		if !allow(i) {
+		if !allow(i) || s.Spread && zones[c.machines[i].zone] >= most {
 			return false
 		}
 		wait := c.turn(i, others)
@@ -1023,52 +1034,54 @@
 		}
 		return wait == 0
 	}
-	cands := c.copy.Candidates(c.now, ask, c.rng)
-	if at := c.now + early; early > 0 && len(cands) < ask.N && (c.turnAt == 0 || at < c.turnAt) {
-		c.turnAt = at
-	}
-	if len(cands) == 0 && s.Zone == "" && s.Types == nil && only == "" && c.copy.Valid(c.now) {
-		x := noRoom{claim: s.Claim, spot: s.Spot, held: held, prio: prio, at: at}
-		if early > 0 {
-			x.until = c.now + early
-		}
-		c.noRoom = append(c.noRoom, x)
-	}
-	cap := (s.Tasks + 1) / 2
 	untried := map[int32]bool{} // machines that seem full get one try each
-	for len(tasks) > 0 && len(cands) > 0 {
-		progress := false
-		for _, mi := range cands {
-			if len(tasks) == 0 {
-				break
+	for len(tasks) > 0 {
+		before := full()
+		cands := c.copy.Candidates(c.now, ask, c.rng)
+		if at := c.now + early; early > 0 && len(cands) < ask.N && (c.turnAt == 0 || at < c.turnAt) {
+			c.turnAt = at
+		}
+		if len(cands) == 0 && s.Zone == "" && s.Types == nil && only == "" && before == 0 && c.copy.Valid(c.now) {
+			x := noRoom{claim: s.Claim, spot: s.Spot, held: held, prio: prio, at: at}
+			if early > 0 {
+				x.until = c.now + early
 			}
-			m := c.machines[mi]
-			r := c.copy.Row(mi)
-			if r == nil || !r.Has(s.Claim, s.Spot) {
-				if untried[mi] || c.copy.Valid(c.now) && !c.cfg.RandomFill {
+			c.noRoom = append(c.noRoom, x)
+		}
+		for progress := true; progress && len(tasks) > 0; {
+			progress = false
+			for _, mi := range cands {
+				if len(tasks) == 0 {
+					break
+				}
+				m := c.machines[mi]
+				r := c.copy.Row(mi)
+				if r == nil || !r.Has(s.Claim, s.Spot) {
+					if untried[mi] || c.copy.Valid(c.now) && !c.cfg.RandomFill {
+						continue
+					}
+					untried[mi] = true
+				}
+				if s.Spread && zones[m.zone] >= most || c.holds(m, p.j, tasks[0]) {
 					continue
 				}
-				untried[mi] = true
-			}
-			if s.Spread && zones[m.zone] >= cap || c.holds(m, p.j, tasks[0]) {
-				continue
-			}
-			if s.OneZone && only != "" && m.zone != only {
-				continue
-			}
-			if s.OneZone {
-				only = m.zone // the first task decides where no zone could be preferred
+				if s.OneZone && only != "" && m.zone != only {
+					continue
+				}
+				if s.OneZone {
+					only = m.zone // the first task decides where no zone could be preferred
+				}
+				p.rec.Tries++
+				a := ledger.Asg{Task: tasks[0], Machine: mi, Session: m.session, Try: p.rec.Tries}
+				tasks = tasks[1:]
+				p.place = append(p.place, a)
+				p.started = append(p.started, a)
+				zones[m.zone]++
+				c.copy.Apply(c.now, ccs.Delta{Start: true, Machine: mi, Claim: s.Claim})
+				progress = true
 			}
-			p.rec.Tries++
-			a := ledger.Asg{Task: tasks[0], Machine: mi, Session: m.session, Try: p.rec.Tries}
-			tasks = tasks[1:]
-			p.place = append(p.place, a)
-			p.started = append(p.started, a)
-			zones[m.zone]++
-			c.copy.Apply(c.now, ccs.Delta{Start: true, Machine: mi, Claim: s.Claim})
-			progress = true
 		}
-		if !progress {
+		if full() == before { // else those that are left may find room in the other zones
 			break
 		}
 	}
