--- a/core/booking/past.go
+++ b/core/booking/past.go
@@ -190,7 +190,7 @@
 	slices.SortFunc(all, func(a, b *pb.Booking) int { return strings.Compare(a.Id, b.Id) })
 	t := &wire.Txn{If: []wire.Cond{{Key: key, Mark: p.mark}, {Key: PastPrefix + k.high, Mark: k.mark}}}
 	put := func(low, high string, list []*pb.Booking) bool {
-		raw, err := encodePage(&pb.Page{Bookings: list, Low: low, High: high}, nil)
+		raw, err := pack(&pb.Page{Bookings: list, Low: low, High: high}, nil)
 		t.Then = append(t.Then, wire.Write{Put: PastPrefix + high, Value: raw})
 		return err == nil && len(raw) <= valueBytes
 	}
--- a/core/bookings.go
+++ b/core/bookings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/prototext"
@@ -162,6 +163,10 @@
 	if t == nil {
 		return
 	}
+	if !slices.ContainsFunc(t.Then, func(w wire.Write) bool { return w.Put == booking.KeyHead }) {
+		c.recorder().Unsent(s.ids) // it only compares
+		s.ids = nil
+	}
 	ids := s.ids
 	s.ids = nil
 	c.commit(*t, &txn{done: func(status int, r wire.TxnReply) {
@@ -209,19 +214,19 @@
 }
 
 // carryBookings has the head carry entries of what is done: of those who asked, and of what time has done.
-func (c *Core) carryBookings(mark uint64, old []audit.Carried, asks []*booking.Ask, done []*pb.Booking) []audit.Carried {
+func (c *Core) carryBookings(mark uint64, old []audit.Carried, granted []*booking.Ask, changed []*pb.Booking) []audit.Carried {
 	s := &c.deskState
 	c.recorder().Unsent(s.ids)
 	asked := map[string]bool{}
 	var acts []recorder.Act
-	for _, a := range asks {
+	for _, a := range granted {
 		by, object := a.Tag.(booker).by, cmp.Or(a.Wish.ID, "equipment")
 		asked[object] = true
 		acts = append(acts, actOf(by, bookingVerbs[a.Wish.Verb], object, a.Wish.Why))
 	}
-	for _, b := range done {
+	for _, b := range changed {
 		if !asked[b.Id] {
-			acts = append(acts, recorder.Act{Verb: "end booking", Object: b.Id, Why: cmp.Or(b.Why, "it got its slots")})
+			acts = append(acts, recorder.Act{Verb: "change booking", Object: b.Id, Why: cmp.Or(b.Why, "it got its slots")})
 		}
 	}
 	var list []audit.Carried
--- a/internal/sim/audit.go
+++ b/internal/sim/audit.go
@@ -10,6 +10,7 @@
 
 	"dewlift/audit"
 	"dewlift/core"
+	"dewlift/core/booking"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -126,6 +127,10 @@
 		key := x.Put + x.Delete
 		old, now := was(key), decodeCarrying(x.Value)
 		switch id, isJob := strings.CutPrefix(key, core.Root+"job/"); {
+		case key == booking.KeyHead:
+			if len(r.fresh(key, old.Carried, now.Carried)) == 0 {
+				r.broken("bookings change without an entry")
+			}
 		case isJob && x.Put != "":
 			mark := core.Root + "cancel/" + id
 			marked := keys[mark] != nil
--- a/internal/sim/booking_test.go
+++ b/internal/sim/booking_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// With rights and the audit record in force, what is done with bookings is recorded with its own write.
+func TestBookingsAreRecorded(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			w := play(t, Options{Seed: seed, Length: 180 * time.Second, Jobs: 8, Tasks: 4, Bookers: 40, Rights: true, Audit: true})
+			for _, verb := range []string{"book", "move booking", "end booking", "change equipment"} {
+				if w.recorder.verbs[verb] == 0 {
+					t.Errorf("no %s in the record: %v", verb, w.recorder.verbs)
+				}
+			}
+		})
+	}
+}
+
 // Each rule of bookings breaks on a step that is wrong.
 func TestCheckerOfBookingsFires(t *testing.T) {
 	slot := func(piece string, from int64) *pb.Slot {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -182,6 +182,9 @@
 	}
 	if w.opt.Bookers > 0 && !n.old {
 		cfg.Equipment, cfg.ValueBytes = w.booked.site, 640 // so that there are many pages
+		if w.opt.Audit {
+			cfg.ValueBytes = 4096 // entries of the record need room
+		}
 		cfg.BookingKeep = time.Duration(w.opt.Seed%3) * 10 * time.Second
 	}
 	if w.opt.Upgrade && !n.old {
