--- a/cmd/dewlift/access.go
+++ b/cmd/dewlift/access.go
@@ -161,7 +161,7 @@
 	}
 	f := cmd.Flags()
 	f.StringVar(&who, "who", "", "the identity")
-	f.StringVar(&verb, "verb", "", "submit, read, cancel, prioritise, administer, audit or report")
+	f.StringVar(&verb, "verb", "", "submit, read, cancel, prioritise, administer, audit, report, book or equip")
 	f.StringVar(&team, "team", "", "the job's team")
 	f.StringVar(&class, "class", "", "the job's class")
 	f.StringVar(&priority, "priority", wire.PriorityName(wire.PriorityStandard), "of a submission")
--- a/core/core.go
+++ b/core/core.go
@@ -34,8 +34,9 @@
 	keyTeam   = Root + "team/"
 	keyTypes  = Root + "types"
 
-	// KeyEpoch is the token.
+	// KeyEpoch is the token, and KeyJob begins the keys of jobs.
 	KeyEpoch = keyEpoch
+	KeyJob   = keyJob
 )
 
 // LeasedKeys begin the keys that are attached to a controller's lease.
--- a/core/lanes.go
+++ b/core/lanes.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"dewlift/ccs"
 	"dewlift/core/ledger"
 	"dewlift/core/links"
 	"dewlift/lanes"
@@ -265,13 +266,13 @@
 				c.reply(in.Req, 404, wire.Error{Error: in.ID + " does not wait: it runs, is over or never was"})
 				return
 			}
-			c.reply(in.Req, 200, wire.Queue{Jobs: []wire.QueuedJob{c.queued(list, i)}, All: len(list)})
+			c.reply(in.Req, 200, wire.Queue{Jobs: []wire.QueuedJob{c.queued(list, i, &[]noRoom{})}, All: len(list)})
 			return
 		}
-		out := wire.Queue{All: len(list), Version: c.lanesMark}
+		out, know := wire.Queue{All: len(list), Version: c.lanesMark}, []noRoom{}
 		for i := max(0, in.After); i < len(list) && len(out.Jobs) < min(max(1, in.Most), queuePage); i++ {
 			if c.mayRead(in.By, list[i]) {
-				out.Jobs = append(out.Jobs, c.queued(list, i))
+				out.Jobs = append(out.Jobs, c.queued(list, i, &know))
 			}
 			out.Next = i + 1
 		}
@@ -301,8 +302,9 @@
 	return list
 }
 
-// queued is a job of the queue, and what it waits for, as far as it is known to every controller.
-func (c *Core) queued(list []*job, i int) wire.QueuedJob {
+// queued is a job of the queue, and what it waits for, as far as every controller can tell. know are claims for which there is no room, found for
+// those before it in the same answer.
+func (c *Core) queued(list []*job, i int, know *[]noRoom) wire.QueuedJob {
 	j := list[i]
 	s := j.rec.Spec
 	own, by := c.ownLane(j.rec), c.laneOf(j)
@@ -318,21 +320,25 @@
 		q.For, q.Why = "errors", "its tasks failed several times in a row; it is tried again in a moment"
 	case !c.teamOf(s).hasRoom(s.Claim):
 		q.For, q.Why = "limit", "its team "+s.Team+" uses all that it may; it begins when other work of the team ends"
-	case !c.anyRoom(s):
+	case !c.anyRoom(s, know):
 		q.For, q.Why = "room", "no machine has room for one of its tasks; machines are rented if there are any to be had, and those before it in the queue come first"
 	default:
 		q.For, q.Why = "changes", "there is room; it begins when its turn to be written comes"
 	}
-	if i > 0 && j.waits == 0 {
-		q.Ahead = i
-	}
 	return q
 }
 
 // anyRoom reports whether a task could be placed somewhere, by the array.
-func (c *Core) anyRoom(s *wire.Spec) bool {
-	return slices.ContainsFunc(c.alive, func(m *machine) bool {
+func (c *Core) anyRoom(s *wire.Spec, know *[]noRoom) bool {
+	if slices.ContainsFunc(*know, func(x noRoom) bool { return x.spot == s.Spot && ccs.Vec(s.Claim).Fits(x.claim) }) {
+		return false
+	}
+	any := slices.ContainsFunc(c.alive, func(m *machine) bool {
 		r := c.copy.Row(m.idx)
 		return r != nil && r.Offered && r.Has(s.Claim, s.Spot) && c.usable(m) && c.allowed(s, m)
 	})
+	if !any && s.Types == nil && s.Zone == "" {
+		*know = append(*know, noRoom{claim: s.Claim, spot: s.Spot})
+	}
+	return any
 }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -122,3 +122,32 @@
 		}
 	}
 }
+
+// A snapshot's jobs keep their order, before all that come after it, also when it is restored again and again.
+func TestRestoredKeepsItsPlace(t *testing.T) {
+	raw := func(r Record) json.RawMessage {
+		r.Spec = &wire.Spec{Tasks: 1}
+		out, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	before := func(raw json.RawMessage) uint64 {
+		r, err := Decode(raw)
+		if err != nil || r.Turn != 0 || r.Spec == nil {
+			t.Fatal(r, err)
+		}
+		return r.Before
+	}
+	// Accepted as 10 and written again as 90; as 50, once; restored earlier, first and second.
+	a, b := Restored(raw(Record{Turn: 10}), 90, 100), Restored(raw(Record{}), 50, 100)
+	c, d := Restored(raw(Record{Before: 7, Turn: 3}), 60, 100), Restored(raw(Record{Before: 5, Turn: 3}), 60, 100)
+	if !(before(c) > before(d) && before(d) > before(a) && before(a) > before(b) && before(b) > 0) {
+		t.Errorf("%d, %d, %d, %d", before(a), before(b), before(c), before(d))
+	}
+	over := json.RawMessage(`{"h":1,"st":"d"}`)
+	if string(Restored(over, 5, 100)) != string(over) {
+		t.Error("one that is over")
+	}
+}
--- a/snapshot/restore.go
+++ b/snapshot/restore.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"dewlift/core"
+	"dewlift/core/ledger"
 	"dewlift/core/recorder"
 	pb "dewlift/proto"
 	"dewlift/wire"
@@ -76,6 +77,8 @@
 				return fmt.Errorf("the snapshot's token is not a number: %w", err)
 			}
 			k.Value = []byte(strconv.FormatUint(v+tokenLeap, 10))
+		case strings.HasPrefix(k.Name, core.KeyJob):
+			k.Value = ledger.Restored(k.Value, k.Mark, head.Ledger)
 		}
 		return w.put(ctx, wire.Write{Put: k.Name, Value: k.Value})
 	}); err != nil {
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -29,5 +29,4 @@
 	WaitedS   int64  `json:"waited_s"` // since it was accepted
 	For       string `json:"for"`      // what it waits for: jobs, errors, limit, room or changes
 	Why       string `json:"why"`      // the same in words
-	Ahead     int    `json:"ahead,omitempty"`
 }
