--- a/controller.go
+++ b/controller.go
@@ -152,6 +152,7 @@
 		HealthEvery:  ms(t.GetHealthMs()),
 		LookAll:      ms(t.GetLookAllMs()),
 		RentAhead:    ms(t.GetRentAheadMs()),
+		GiveWay:      ms(t.GetGiveWayMs()),
 		RiseAfter:    ms(t.GetRiseMs()),
 		BookingKeep:  time.Duration(t.GetBookingKeepMin()) * time.Minute,
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -27,12 +27,13 @@
 	}
 }
 
-// waitingHere lists, of each lane, the first of this controller's jobs that wait for room.
+// waitingHere lists, of each lane, the first of this controller's jobs that wait for room, and have for so long that others give way. What
+// is short for seconds is had by whoever can use it at once: when all gave way after a second, hardly any work began within two.
 func (c *Core) waitingHere() (out []Waiting) {
 	first := make([]*job, c.lanes.Len())
 	for _, j := range c.open {
 		if !j.pending || j.inflight || !c.mine(j) || j.rec.Spec == nil || j.rec.Spec.Types != nil || j.rec.Spec.Zone != "" || c.now < j.backoff ||
-			c.unixMS()-j.turn() < waitsFrom.Milliseconds() || !c.teamOf(j.rec.Spec).hasRoom(j.rec.Spec.Claim) {
+			c.unixMS()-j.turn() < c.cfg.GiveWay.Milliseconds() || !c.teamOf(j.rec.Spec).hasRoom(j.rec.Spec.Claim) {
 			continue
 		}
 		if at := &first[c.risen(j)]; *at == nil || j.turn() < (*at).turn() {
@@ -64,8 +65,6 @@
 	return w.Priority < lane || w.Priority == lane && w.AtMS < j.turn()
 }
 
-const waitsFrom = time.Second // from its turn on, until a job counts as one that waits for room
-
 // tellHealth tells the others whether the state service is in reach here. A controller that
 // has not loaded yet does so too: in an outage, the ones left need a majority's word for it.
 func (c *Core) tellHealth() {
--- a/core/types.go
+++ b/core/types.go
@@ -74,6 +74,7 @@
 	AcceptWait   time.Duration // for the write of a submission or cancellation
 	HealthEvery  time.Duration
 	LookAll      time.Duration     // between two looks at everything
+	GiveWay      time.Duration     // that a job has waited for room when later ones no longer pass it
 	RiseAfter    time.Duration     // after which waiting work counts as a step more important; 0: never
 	RentAhead    time.Duration     // from a need to the rental, and from a boot to the first start
 	Access       *access.Policy    // rights where the state service has none; nil: none, and everyone may do everything
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -163,7 +163,7 @@
 		BootPatience: 3, Settle: 300 * time.Millisecond, WholePush: 10 * time.Second, PushGap: 100 * time.Millisecond, OrderAgain: time.Second, OrdersMost: 400, ProbesMost: 100,
 		ClearWait: 2 * time.Second, PassTime: 3 * time.Second, LinkLost: 1500 * time.Millisecond, RoomAgain: 4 * time.Second,
 		ListEvery: 2500 * time.Millisecond, SettleMost: 2 * time.Second, CancelShare: 0.35,
-		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second}
+		LossGather: 700 * time.Millisecond, AcceptWait: 1500 * time.Millisecond, HealthEvery: 500 * time.Millisecond, LookAll: 20 * time.Second, RentAhead: 3 * time.Second, GiveWay: time.Second}
 	cfg.EndedKept, cfg.HistoryCache, cfg.HistoryShare = 5000, 1<<20, 0.2
 	cfg.SharedValues = w.opt.Shared
 	if w.opt.Rights {
