One piece each: who is there, what a refusal says; the waiting list is walked when time has ended something

On reading the whole change: each batch of bookings looked for a place for everyone on the waiting list, although every change gives what it freed; a field, a method and a result nobody used are gone; a closure and the reading of a refusal stood twice.

--- a/booking/decide.go
+++ b/booking/decide.go
@@ -102,7 +102,7 @@
 		case b == nil:
 			return Answer{Outcome: Unknown, Why: "there is no booking " + w.ID}
 		case w.Verb == Confirm:
-			a = confirm(d, now, b)
+			a = confirm(d, b)
 		case w.Verb == Move:
 			a = s.move(d, now, b, w)
 		case b.State != pb.BookingState_ended && Over(b, now):
@@ -344,7 +344,7 @@
 	return false
 }
 
-func confirm(d *Draft, now int64, b *pb.Booking) Answer {
+func confirm(d *Draft, b *pb.Booking) Answer {
 	switch b.State {
 	case pb.BookingState_confirmed:
 		return Answer{Outcome: Again, Booking: b}
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -45,15 +45,12 @@
 // Get returns a booking, nil if there is none. It must not be changed.
 func (l *Ledger) Get(id string) *pb.Booking { return l.byID[id] }
 
-// Put takes a booking as it was stored; of two that have the same id, the later change counts. It reports whether it does.
-func (l *Ledger) Put(b *pb.Booking) bool {
+// Put takes a booking as it was stored; of two that have the same id, the later change counts.
+func (l *Ledger) Put(b *pb.Booking) {
 	l.change = max(l.change, b.Change)
-	old := l.byID[b.Id]
-	if old != nil && old.Change >= b.Change {
-		return false
+	if old := l.byID[b.Id]; old == nil || old.Change < b.Change {
+		l.replace(b.Id, b)
 	}
-	l.replace(b.Id, b)
-	return true
 }
 
 // Forget drops bookings from memory that a function tells; it must not tell any that has a slot or waits for one.
--- a/cmd/dewlift/access.go
+++ b/cmd/dewlift/access.go
@@ -187,15 +187,20 @@
 	case r.Err != nil:
 		return fmt.Errorf("controller %s: %w", server, r.Err)
 	case r.Status != http.StatusOK:
-		var e wire.Error
-		if json.Unmarshal(r.Body, &e) != nil || e.Error == "" {
-			e.Error = http.StatusText(r.Status)
-		}
-		return fmt.Errorf("controller %s answers %d: %s", server, r.Status, e.Error)
+		return fmt.Errorf("controller %s answers %d: %s", server, r.Status, whyNot(r))
 	}
 	return nil
 }
 
+// whyNot is what a controller says of a request that it refuses.
+func whyNot(r call.Result) string {
+	var e wire.Error
+	if json.Unmarshal(r.Body, &e) != nil || e.Error == "" {
+		return http.StatusText(r.Status)
+	}
+	return e.Error
+}
+
 func showCommand(me *self) *cobra.Command {
 	var server string
 	cmd := &cobra.Command{
--- a/cmd/dewlift/demo.go
+++ b/cmd/dewlift/demo.go
@@ -134,7 +134,7 @@
 	// A worker fetches a job's description by itself; here from where it was stored.
 	fleet := standin.NewWorkers(demoMachines, kind, d.addrs, 2*time.Second, func(piece string) ([3]int64, time.Duration) {
 		id, _, _ := wire.SplitTask(piece)
-		r, err := ledger.Decode(store.Value(core.Root + "job/" + id))
+		r, err := ledger.Decode(store.Value(core.KeyJob + id))
 		if err != nil || r.Spec == nil {
 			return [3]int64{}, time.Second // its job is over
 		}
--- a/cmd/dewlift/job.go
+++ b/cmd/dewlift/job.go
@@ -31,11 +31,7 @@
 		return s, fmt.Errorf("controller %s: %w", j.server, r.Err)
 	}
 	if r.Status != http.StatusOK && r.Status != http.StatusCreated {
-		var e wire.Error
-		if json.Unmarshal(r.Body, &e) != nil || e.Error == "" {
-			e.Error = http.StatusText(r.Status)
-		}
-		return s, refusal(fmt.Sprintf("status %d: %s", r.Status, e.Error))
+		return s, refusal(fmt.Sprintf("status %d: %s", r.Status, whyNot(r)))
 	}
 	if err := json.Unmarshal(r.Body, &s); err != nil {
 		return s, fmt.Errorf("answer not understood: %w", err)
--- a/core/booking/desk.go
+++ b/core/booking/desk.go
@@ -268,18 +268,6 @@
 	return true
 }
 
-// Waiting is how many wait for an answer.
-func (d *Desk) Waiting() int {
-	n := len(d.queue)
-	if d.flight != nil {
-		n += len(d.flight.answers)
-	}
-	for _, list := range d.looking {
-		n += len(list)
-	}
-	return n
-}
-
 // Late takes out those who have waited too long.
 func (d *Desk) Late(now time.Duration) (out []Answer) {
 	late := func(a *Ask) bool {
@@ -353,7 +341,9 @@
 	f := &flight{draft: d.ledger.Draft()}
 	d.flight = f
 	site := d.site
-	site.Advance(f.draft, env.UnixS)
+	if d.ledger.Due(env.UnixS) { // else each change has given what it freed, and nobody waits for what they could have
+		site.Advance(f.draft, env.UnixS)
+	}
 	var conds []wire.Cond
 	var asks []*Ask
 	for _, a := range d.queue[:most] {
--- a/core/bookings.go
+++ b/core/bookings.go
@@ -27,11 +27,10 @@
 	seedAt time.Duration
 }
 
-// booker is who waits for the answer to an ask; nobody waits for one of the service itself.
+// booker is who waits for the answer to an ask.
 type booker struct {
-	req  uint64
-	by   Cred
-	self bool
+	req uint64
+	by  Cred
 }
 
 const oldVersion = "a controller may still run a version that does not know bookings"
@@ -237,9 +236,6 @@
 // answerBooking tells somebody what became of their wish.
 func (c *Core) answerBooking(a booking.Answer) {
 	who := a.Ask.Tag.(booker)
-	if who.self {
-		return
-	}
 	switch {
 	case a.Late:
 		c.refuse(who.req, "it could not be decided in time")
--- a/core/lanes.go
+++ b/core/lanes.go
@@ -217,8 +217,7 @@
 				}
 			}
 		}
-		there := func(n string) bool { _, ok := c.nodes[n]; return ok }
-		if first == nil || c.links.Before(c.now, there, links.Wait{Priority: c.risen(first), AtMS: first.turn()}, lane) {
+		if first == nil || c.links.Before(c.now, c.there, links.Wait{Priority: c.risen(first), AtMS: first.turn()}, lane) {
 			continue // what comes first of these lanes is another controller's
 		}
 		first.boosted = c.now + time.Second
--- a/core/own.go
+++ b/core/own.go
@@ -65,6 +65,12 @@
 	return out
 }
 
+// there reports whether a controller holds a lease, as far as is known here.
+func (c *Core) there(name string) bool {
+	_, ok := c.nodes[name]
+	return ok
+}
+
 // rank is the place of this controller in a key's rendezvous order among the live ones.
 func (c *Core) rank(key string, live []string) int {
 	weight := func(n string) uint64 {
--- a/core/place.go
+++ b/core/place.go
@@ -898,9 +898,8 @@
 type places [2]struct{ before, alike int }
 
 func (c *Core) placesOf(priority int, atMS int64) (o places) {
-	there := func(n string) bool { _, ok := c.nodes[n]; return ok }
 	for i := range o {
-		o[i].before, o[i].alike = c.links.Order(c.now, there, links.Wait{Priority: priority, AtMS: atMS}, i == 1)
+		o[i].before, o[i].alike = c.links.Order(c.now, c.there, links.Wait{Priority: priority, AtMS: atMS}, i == 1)
 	}
 	return o
 }
