--- a/internal/sim/meet.go
+++ b/internal/sim/meet.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"dewlift/core"
@@ -20,8 +22,15 @@
 func (w *World) meetings() {
 	w.Check.meets = true
 	w.Check.calmFrom = w.opt.Length - meetCalm + meetLast
-	list := []func(){w.refusedThenAll, w.cutWithUsers, w.lateWrites, w.lateReports, w.deafMachines, w.allEnd, w.leaderEnds, w.hangs, w.readsHang, w.standStill,
-		w.slowState, w.heldOrders}
+	all := w.troublesThatMeet()
+	names := w.opt.Pair
+	if names == nil {
+		names = slices.Sorted(maps.Keys(all))
+	}
+	var list []func()
+	for _, n := range names {
+		list = append(list, all[n])
+	}
 	for at := 20 * time.Second; at < w.opt.Length-meetCalm; at += w.between(15*time.Second, 45*time.Second) {
 		w.after(at, func() {
 			a := w.rng.IntN(len(list))
@@ -32,6 +41,13 @@
 	}
 }
 
+// troublesThatMeet are all of them by name.
+func (w *World) troublesThatMeet() map[string]func() {
+	return map[string]func(){"refused, then all": w.refusedThenAll, "cut with users": w.cutWithUsers, "late writes": w.lateWrites, "late reports": w.lateReports,
+		"deaf": w.deafMachines, "all end": w.allEnd, "leader ends": w.leaderEnds, "hang": w.hangs, "reads hang": w.readsHang, "still": w.standStill,
+		"slow": w.slowState, "held orders": w.heldOrders}
+}
+
 func (w *World) someNode() *node {
 	if w.chance(0.5) {
 		return w.leaderOf()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -102,6 +102,45 @@
 	}
 }
 
+// The meetings that the operators have seen rules break in, one by one, in worlds that have no other troubles.
+func TestRulesHoldInEachMeeting(t *testing.T) {
+	for name, m := range map[string]struct {
+		pair []string
+		opt  func(o *Options)
+	}{
+		"slow, then refused, then down for all":        {pair: []string{"slow", "refused, then all"}},
+		"small jobs end far apart as the leader does":  {[]string{"leader ends", "late reports"}, func(o *Options) { o.Tasks, o.Apart = 3, true }},
+		"far apart, and machines that hang":            {[]string{"leader ends", "hang", "all end"}, func(o *Options) { o.Tasks, o.Apart = 3, true }},
+		"handed over and back":                         {[]string{"all end", "leader ends"}, func(o *Options) { o.Nodes = 3 }},
+		"handed over and back, with late writes":       {[]string{"all end", "late writes"}, nil},
+		"late writes of ended controllers":             {[]string{"late writes", "leader ends"}, nil},
+		"late writes with rights and a record":         {[]string{"late writes", "leader ends"}, func(o *Options) { o.Rights, o.Audit, o.Shared = true, true, false }},
+		"late writes of bookings":                      {[]string{"late writes", "all end"}, func(o *Options) { o.Bookers, o.Jobs = 10, 20 }},
+		"old reports of earlier sessions":              {[]string{"late reports", "deaf"}, nil},
+		"old reports at controllers that have ended":   {[]string{"late reports", "all end"}, nil},
+		"the leader ends and machines are deaf":        {[]string{"leader ends", "deaf"}, func(o *Options) { o.Apart = true }},
+		"the leader ends and machines hang":            {[]string{"leader ends", "hang"}, func(o *Options) { o.Apart = true }},
+		"cut with its users, and another leads":        {[]string{"cut with users", "leader ends"}, nil},
+		"cut with its users, then down for all":        {[]string{"cut with users", "refused, then all"}, nil},
+		"held orders, and machines that hang":          {[]string{"held orders", "hang"}, nil},
+		"held orders, and the state service down":      {[]string{"held orders", "refused, then all"}, nil},
+		"a controller stands still, and another leads": {[]string{"still", "leader ends"}, nil},
+	} {
+		for seed := uint64(1); seed <= max(1, *worlds/16); seed++ {
+			t.Run(fmt.Sprint(name, " seed", seed), func(t *testing.T) {
+				t.Parallel()
+				o := MeetingOf(seed)
+				o.Pair = m.pair
+				if m.opt != nil {
+					m.opt(&o)
+				}
+				w := play(t, o)
+				t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+			})
+		}
+	}
+}
+
 // Controllers end at random moments while the lanes are full: no job is passed for long by a later one of its lane and shape, and none changes
 // its lane or place.
 func TestOrderHoldsThroughKills(t *testing.T) {
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -746,7 +746,11 @@
 		if j.spec.Service {
 			return
 		}
-		m.w.after(m.w.between(2*time.Second, 25*time.Second), func() {
+		most := 25 * time.Second
+		if m.w.opt.Apart {
+			most = 80 * time.Second
+		}
+		m.w.after(m.w.between(2*time.Second, most), func() {
 			if m.gone || t.run != run {
 				return
 			}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -33,6 +33,8 @@
 	CancelIn time.Duration // 0: 40 s
 	Lease    time.Duration // of a worker; 0: 20 s
 	Meet     bool          // troubles come in pairs only; then it is calm, and what is forgotten shows
+	Pair     []string      // the only troubles that meet; nil: any two of all
+	Apart    bool          // tasks run for up to more than a minute: those of a small job end far apart
 	Flap     bool          // what ends is back within a second, with late copies of what it did; then it is calm, and what is forgotten shows
 }
 
