A job that fails everywhere is tried a task at a time, and says nothing of the machines it fails on

Change: a job's record tells. Nothing completed and at least three errors among its last stops: tried a task at a time, elsewhere than it has just failed, and it rents for that task alone; more with each task that keeps running. Errors on several machines: no machine is blamed. Errors outlast other reasons in a record as long as nothing has completed. A machine is returned as faulty if two of the jobs that failed there do well elsewhere; if nothing is known of them it is left out for a minute after the last failure. What completes on it clears it. `job get` and the queue say it in plain words.

--- a/cmd/dewlift/job.go
+++ b/cmd/dewlift/job.go
@@ -44,6 +44,9 @@
 		return json.NewEncoder(out).Encode(s)
 	}
 	fmt.Fprintf(out, "%s: %s, %d done, %d running\n", s.ID, s.Stage, s.Done, s.Running)
+	if s.Note != "" {
+		fmt.Fprintf(out, "  %s\n", s.Note)
+	}
 	if s.AwaitsCount > 0 {
 		fmt.Fprintf(out, "  waits for %d jobs: %s\n", s.AwaitsCount, strings.Join(s.Awaits, " "))
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -113,6 +113,7 @@
 	returning bool // its return was asked of the cloud
 	refused   time.Duration
 	errs      int
+	failedAt  time.Duration  // when something failed there last
 	failed    map[int32]bool // jobs that failed on it since a task last completed
 
 	send     uint64 // id of the orders on their way; 0: none
@@ -1180,7 +1181,7 @@
 			} else {
 				c.touch(j)
 			}
-			m.judge(j, p.Cause)
+			c.judgeEnd(m, j, p.Cause)
 		}
 		if p.Stage == wire.TaskRunning && j.rec != nil && j.rec.Spec != nil {
 			m.images[j.rec.Spec.Image] = true
@@ -1253,23 +1254,19 @@
 	return r
 }
 
-// judge draws conclusions about a machine from the end of a task there.
-func (m *machine) judge(j *job, cause string) {
+// judgeEnd draws conclusions about a machine from the end of a task there.
+func (c *Core) judgeEnd(m *machine, j *job, cause string) {
 	switch cause {
 	case wire.CauseDone:
-		m.failed = nil
+		m.failed, m.errs = nil, 0
 	case wire.CauseError:
 		if m.failed == nil {
 			m.failed = map[int32]bool{}
 		}
-		m.failed[j.idx] = true
+		m.failed[j.idx], m.failedAt = true, c.now
 	}
 }
 
-// faulty reports whether a machine fails whatever runs there; a job that was submitted with a
-// mistake counts once, however often it fails.
-func (m *machine) faulty() bool { return len(m.failed) >= 3 }
-
 // markGone records the proof that a machine and all on it are gone.
 func (c *Core) markGone(m *machine) {
 	if m.gone {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -439,15 +439,15 @@
 		fail(10+i, "wk-1", i, wire.CauseError)
 	}
 	fail(20, "wk-2", 1, wire.CauseError)
-	if m.faulty() {
+	if c.faulty(m) {
 		t.Error("two failing jobs make a machine faulty")
 	}
 	fail(21, "wk-3", 1, wire.CauseError)
-	if !m.faulty() {
+	if !c.faulty(m) {
 		t.Error("three failing jobs do not make a machine faulty")
 	}
 	fail(22, "wk-4", 1, wire.CauseDone)
-	if m.faulty() {
+	if c.faulty(m) {
 		t.Error("a machine that completes tasks is faulty")
 	}
 }
--- a/core/lead.go
+++ b/core/lead.go
@@ -476,7 +476,7 @@
 			c.probe(m)
 		case quiet > c.silent() && (!deaf || quiet > c.cfg.WorkerLease+10*time.Second) && c.now-l.since > c.silent():
 			c.mustReturn(m, "silent")
-		case m.faulty():
+		case c.mustGo(m):
 			c.mustReturn(m, "faulty")
 		default:
 			c.probe(m)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -86,12 +86,18 @@
 
 const keptReasons = 4 // the last ones
 
-// AddReason notes why a task stopped; of many only the last are kept.
+// AddReason notes why a task stopped; of many only the last are kept. As long as nothing of a job has completed, its errors outlast the other reasons: they
+// tell that it was submitted with a mistake.
 func (r *Record) AddReason(w Reason) {
 	r.Why = append(r.Why, w)
-	if len(r.Why) > keptReasons {
-		r.Why = r.Why[len(r.Why)-keptReasons:]
+	if len(r.Why) <= keptReasons {
+		return
 	}
+	first := 0
+	if r.Done.Count() == 0 {
+		first = max(0, slices.IndexFunc(r.Why, func(w Reason) bool { return w.Cause != wire.CauseError }))
+	}
+	r.Why = slices.Delete(r.Why, first, first+1)
 }
 
 // Asg is a task's assignment. Machine is an index of its controller.
--- /dev/null
+++ b/core/mistaken.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dewlift/core/ledger"
+	"dewlift/wire"
+)
+
+// A job that was submitted with a mistake fails on every machine, until its user cancels it. Its record tells every controller: nothing of it has
+// completed, and its last tasks failed. From then on it is tried a task at a time, where it has not failed, and rents little. Once it has failed on several
+// machines it says nothing of them; as long as it failed on one alone, it may be that machine.
+
+const (
+	failsMany   = 3                // errors in a row, of those that a record keeps
+	steadyAfter = 10 * time.Second // from then on a running task shows that others may be tried
+	faultyJobs  = 3                // that fail on a machine, from which on no others go there
+	soundJobs   = 2                // of them that do well elsewhere, from which on it is returned
+	elsewhere   = 30 * time.Second // after which a job is tried again where it failed: there may be no other machine
+	faultyLong  = time.Minute      // after the last of which it is tried again, as long as nothing speaks against it
+)
+
+// failing reports whether a job, by its record, has done nothing but fail of late.
+func failing(r *ledger.Record) bool {
+	if r == nil || r.Done.Count() > 0 {
+		return false
+	}
+	n := 0
+	for _, w := range r.Why {
+		if w.Cause == wire.CauseError {
+			n++
+		}
+	}
+	return n >= failsMany
+}
+
+// mistaken reports whether a job, by its record, seems to fail wherever it is started.
+func mistaken(r *ledger.Record) bool {
+	on := ""
+	return failing(r) && slices.ContainsFunc(r.Why, func(w ledger.Reason) bool {
+		if w.Cause != wire.CauseError {
+			return false
+		}
+		on = cmp.Or(on, w.Machine)
+		return w.Machine != on
+	})
+}
+
+// failedOn reports whether tasks of a job have failed on a machine of late. One of which nothing has completed is tried elsewhere first: else its tasks
+// went to the same machine again and again, and neither was told from the other.
+func (c *Core) failedOn(r *ledger.Record, machine string) bool {
+	return r.Done.Count() == 0 && slices.ContainsFunc(r.Why, func(w ledger.Reason) bool {
+		return w.Cause == wire.CauseError && w.Machine == machine && c.unixMS()-w.AtMS < elsewhere.Milliseconds()
+	})
+}
+
+// mostTried is how many tasks of a job that seems to fail everywhere may be assigned at a time: more with each that keeps running. Nothing of a service ever
+// completes, nor soon of an array of long tasks, and one that met a few faulty machines is not to stand still.
+func (c *Core) mostTried(j *job, place []ledger.Asg) int {
+	return 1 + 2*c.steady(j, place)
+}
+
+// steady counts the tasks of a job that keep running.
+func (c *Core) steady(j *job, place []ledger.Asg) (n int) {
+	for _, a := range place {
+		m := c.machines[a.Machine]
+		if p, ok := m.pieces[attKey{j.idx, a.Task, a.Try}]; ok && p.state == wire.TaskRunning && m.session == a.Session && c.now-p.since >= steadyAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// faulty reports whether a machine fails whatever runs there: several jobs have failed on it since a task last completed. One that fails everywhere
+// is not among them, however often it fails.
+func (c *Core) faulty(m *machine) bool {
+	if len(m.failed) < faultyJobs || c.now-m.failedAt >= faultyLong {
+		return false
+	}
+	n := 0
+	for i := range m.failed {
+		if j := c.jobs[i]; j != nil && !mistaken(j.rec) {
+			n++
+		}
+	}
+	return n >= faultyJobs
+}
+
+// mustGo reports whether a machine that fails whatever runs there is to be returned: jobs that failed on it do well elsewhere.
+func (c *Core) mustGo(m *machine) bool {
+	if !c.faulty(m) {
+		return false
+	}
+	sound := 0
+	for i := range m.failed {
+		if j := c.jobs[i]; j != nil && c.doesWell(j) {
+			sound++
+		}
+	}
+	return sound >= soundJobs
+}
+
+// doesWell reports whether tasks of a job have completed, or replicas of it keep running.
+func (c *Core) doesWell(j *job) bool {
+	if j.rec == nil {
+		return false
+	}
+	return j.rec.Stage == ledger.Done || j.rec.Done.Count() > 0 || j.ended > 0 || c.steady(j, j.place) > 0
+}
+
+// whyFailing says in plain words what becomes of a job that has done nothing but fail of late.
+func whyFailing(r *ledger.Record) string {
+	if mistaken(r) {
+		return "nothing of it has completed, and its tasks failed on several machines: it was probably submitted with a mistake; it is tried a task at a time until it is cancelled or one completes"
+	}
+	return "nothing of it has completed, and its tasks failed on one machine: it is tried a task at a time, elsewhere"
+}
--- /dev/null
+++ b/core/mistaken_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dewlift/core/ledger"
+	"dewlift/wire"
+)
+
+// A job with a mistake kept the machines that it failed on from all work for up to half a minute, was started whole again and again, and had healthy
+// machines returned. What its record says tells it from a faulty machine, at every controller.
+func TestMistakenJobIsToldFromAFaultyMachine(t *testing.T) {
+	for name, x := range map[string]struct {
+		why               string // machine and cause, or "done"
+		failing, mistaken bool
+	}{
+		"two errors":              {"a error b error", false, false},
+		"on one machine":          {"a error a error a error", true, false},
+		"on several":              {"a error a error b error", true, true},
+		"with machines gone":      {"a error b gone b error c gone c gone c error d gone", true, true},
+		"one of it has completed": {"a error b error done c error d error", false, false},
+	} {
+		r := &ledger.Record{Spec: &wire.Spec{Tasks: 9}}
+		f := strings.Fields(x.why)
+		for i := 0; i < len(f); i++ {
+			if f[i] == "done" {
+				r.Done = r.Done.Add(0)
+				continue
+			}
+			r.AddReason(ledger.Reason{Machine: f[i], Cause: f[i+1]})
+			i++
+		}
+		if failing(r) != x.failing || mistaken(r) != x.mistaken {
+			t.Errorf("%s: failing %v, mistaken %v: %v", name, failing(r), mistaken(r), r.Why)
+		}
+	}
+}
+
+// Three jobs fail on two machines. Those of one are mistaken, so it stays in use; those of the other do well elsewhere, so it is returned. Where nothing is
+// known of them, it is tried again after a while.
+func TestOnlyAMachineThatFailsSoundJobsIsReturned(t *testing.T) {
+	c := leading(t)
+	for i, kind := range []string{"mistaken", "sound", "unknown"} {
+		m := c.machine(fmt.Sprint("m-", i))
+		for k := range 3 {
+			j := c.job(fmt.Sprint("wk-", kind, k))
+			j.rec = &ledger.Record{Spec: &wire.Spec{Tasks: 9}}
+			switch kind {
+			case "mistaken":
+				for n := range 3 {
+					j.rec.AddReason(ledger.Reason{Machine: fmt.Sprint("x", n), Cause: wire.CauseError})
+				}
+			case "sound":
+				j.rec.Done = j.rec.Done.Add(4)
+			}
+			c.judgeEnd(m, j, wire.CauseError)
+		}
+		if got, want := c.faulty(m), kind != "mistaken"; got != want {
+			t.Errorf("%s: faulty %v", kind, got)
+		}
+		if got, want := c.mustGo(m), kind == "sound"; got != want {
+			t.Errorf("%s: to be returned %v", kind, got)
+		}
+		c.now += faultyLong
+		if c.faulty(m) {
+			t.Errorf("%s: not tried again", kind)
+		}
+		c.now += time.Second
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -739,7 +739,7 @@
 			}
 			stopped = append(stopped, ledger.Reason{Task: int(a.Task), Machine: m.name, Cause: cause, AtMS: c.unixMS()})
 			rec.AddReason(stopped[len(stopped)-1])
-			c.blame(j, m, cause, a)
+			c.blame(j, m, cause, a, mistaken(&rec))
 		}
 	}
 	p.acts = append(p.acts, stopsOf(j.id, stopped)...)
@@ -812,7 +812,7 @@
 }
 
 // blame draws conclusions from a task's failure.
-func (c *Core) blame(j *job, m *machine, cause string, a ledger.Asg) {
+func (c *Core) blame(j *job, m *machine, cause string, a ledger.Asg, mistaken bool) {
 	t := m.att[attKey{j.idx, a.Task, a.Try}]
 	if t == nil || t.blamed {
 		return
@@ -830,6 +830,9 @@
 		if j.errs > 2 {
 			j.backoff = c.now + min(30*time.Second, time.Second<<min(j.errs-3, 5))
 		}
+		if mistaken { // of the machine it says nothing: one such job kept a tenth of a fleet from all work
+			return
+		}
 		m.errs++
 		m.refused = c.now + time.Duration(min(m.errs, 6))*5*time.Second
 	case wire.CauseUnknown:
@@ -839,7 +842,7 @@
 
 // usable reports whether new tasks may go to a machine now.
 func (c *Core) usable(m *machine) bool {
-	return m.up && !m.gone && !m.returning && !m.faulty() && m.noticed == 0 && m.session > 0 && m.addr != "" &&
+	return m.up && !m.gone && !m.returning && !c.faulty(m) && m.noticed == 0 && m.session > 0 && m.addr != "" &&
 		c.now >= m.refused && c.now-m.heard < c.cfg.ReportEvery*2 && (m.missed == 0 || m.heard > m.missed) && !c.quiet(m.zone, quietForWork)
 }
 
@@ -940,6 +943,9 @@
 		return p.j.backoff
 	}
 	limit := min(c.maxPlaced()-len(p.place), s.Tasks)
+	if failing(p.rec) {
+		limit = min(limit, c.mostTried(p.j, p.place)-len(p.place))
+	}
 	if t := c.teamOf(s); t != nil && t.limited() {
 		if t.locked {
 			return c.now + lockedAgain
@@ -981,7 +987,7 @@
 	ask := ccs.Ask{N: int(math.Ceil(c.cfg.ProbeRatio * float64(len(tasks)))), Claim: s.Claim, Fill: c.cfg.RandomFill, Keep: s.Spot,
 		Allow: func(i int32) bool {
 			m := c.machines[i]
-			return c.usable(m) && c.allowed(s, m) && (only == "" || m.zone == only) && !(held && c.copy.Row(i).Avail.Fits(c.hold.Claim))
+			return c.usable(m) && c.allowed(s, m) && !c.failedOn(p.rec, m.name) && (only == "" || m.zone == only) && !(held && c.copy.Row(i).Avail.Fits(c.hold.Claim))
 		}}
 	if !c.copy.Valid(c.now) {
 		for _, m := range c.alive {
--- a/core/plan.go
+++ b/core/plan.go
@@ -118,7 +118,7 @@
 	var bins []*bin
 	for _, m := range c.alive {
 		t := c.catalog[m.typ]
-		if m.gone || m.lead.why != "" || m.lead.cut || m.noticed > 0 || t == nil || m.faulty() {
+		if m.gone || m.lead.why != "" || m.lead.cut || m.noticed > 0 || t == nil || c.faulty(m) {
 			continue
 		}
 		b := &bin{m: m, pool: pool{m.typ, m.zone, m.spot}, room: t.Room()}
@@ -355,6 +355,9 @@
 				zones[m.zone]++
 			}
 		}
+		if failing(j.rec) {
+			n = min(n, max(0, c.mostTried(j, j.place)-len(j.place)))
+		}
 		if n > 0 && c.now >= j.backoff {
 			out = append(out, need{job: j, spec: s, n: min(n, c.maxPlaced()), zones: zones, prio: c.laneOf(j), at: j.turn()})
 		}
--- a/core/users.go
+++ b/core/users.go
@@ -54,6 +54,9 @@
 		}
 		return s
 	}
+	if failing(j.rec) {
+		s.Note = whyFailing(j.rec)
+	}
 	for _, o := range j.needs {
 		if o.rec == nil || o.rec.Stage != ledger.Done {
 			if s.AwaitsCount++; s.AwaitsCount <= awaitsShown {
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -24,6 +24,7 @@
 	next     map[string][]*truth // jobs that await a job
 	rights   map[string]right
 	Starts   int
+	mistaken map[string]*mistake
 	calmFrom time.Duration // all troubles are over since; 0: they never are
 	meets    bool          // until then troubles follow each other so closely that no job may have a chance to begin
 	at       time.Duration // of the last event
@@ -52,7 +53,7 @@
 // NewChecker returns a checker.
 func NewChecker(cancelIn time.Duration, limit map[string][2]int64) *Checker {
 	return &Checker{cancelIn: cancelIn, limit: limit, jobs: map[string]*truth{}, on: map[string]map[string]bool{},
-		next: map[string][]*truth{}, rights: map[string]right{}, machines: map[string]wire.Machine{}, use: map[string][2]int64{}}
+		next: map[string][]*truth{}, mistaken: map[string]*mistake{}, rights: map[string]right{}, machines: map[string]wire.Machine{}, use: map[string][2]int64{}}
 }
 
 func (k *Checker) broken(rule, format string, args ...any) {
@@ -167,6 +168,9 @@
 // On notes that a task is on a machine from now: it has its image and runs.
 func (k *Checker) On(now time.Duration, id string, task int, m wire.Machine) {
 	k.Starts++
+	if x := k.mistaken[id]; x != nil {
+		x.start(k, now, id)
+	}
 	name := wire.TaskName(id, task)
 	j := k.jobs[id]
 	if j == nil {
@@ -311,6 +315,35 @@
 	}
 }
 
+// mistake is what became of a job whose tasks fail on every machine.
+type mistake struct {
+	starts []time.Duration
+	on     map[string]bool // machines that it failed on
+}
+
+// What a job with a mistake may cost: its tasks once, and then so many starts a minute, with owners that end and forget how often they have tried.
+const mistakenStarts = 20
+
+func (x *mistake) start(k *Checker, now time.Duration, id string) {
+	x.starts = append(x.starts, now)
+	n := 0
+	for _, at := range x.starts {
+		if now-at < time.Minute {
+			n++
+		}
+	}
+	if most := k.jobs[id].spec.Tasks + mistakenStarts; n > most {
+		k.broken("mistaken", "%s was started %d times within a minute", id, n)
+	}
+}
+
+func (x *mistake) failedOn(machine string) {
+	if x.on == nil {
+		x.on = map[string]bool{}
+	}
+	x.on[machine] = true
+}
+
 // Completed notes that a task completed on a worker.
 func (k *Checker) Completed(id string, task int) {
 	j := k.jobs[id]
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -141,6 +141,31 @@
 	}
 }
 
+// Jobs that were submitted with a mistake fail wherever they are started, until somebody looks. They cost a bounded number of starts, no machine is
+// taken for faulty because of them, and what else there is to do is done.
+func TestJobsWithAMistakeCostLittle(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			w := New(Options{Seed: seed, Length: 240 * time.Second, Jobs: 30, Mistakes: 10, Quiet: seed%2 == 0})
+			w.Trace = func(f string, a ...any) {
+				if line := fmt.Sprintf(f, a...); w.opt.Quiet && strings.Contains(line, "faulty") {
+					t.Error(line)
+				}
+			}
+			w.Run()
+			if len(w.Check.Broken) > 0 {
+				t.Errorf("at %v: %s", w.now, strings.Join(w.Check.Broken, "; "))
+			}
+			for id, j := range w.Check.jobs {
+				if w.Check.mistaken[id] == nil && w.opt.Quiet && !j.spec.Service && !j.asked && len(j.done) < j.spec.Tasks {
+					t.Errorf("%s: %d of %d tasks done", id, len(j.done), j.spec.Tasks)
+				}
+			}
+		})
+	}
+}
+
 // Controllers end at random moments while the lanes are full: no job is passed for long by a later one of its lane and shape, and none changes
 // its lane or place.
 func TestOrderHoldsThroughKills(t *testing.T) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -32,6 +32,7 @@
 	Beside   bool          // one controller is of the version in production throughout
 	CancelIn time.Duration // 0: 40 s
 	Lease    time.Duration // of a worker; 0: 20 s
+	Mistakes int           // jobs whose tasks fail on every machine, until their users cancel them
 	Meet     bool          // troubles come in pairs only; then it is calm, and what is forgotten shows
 	Pair     []string      // the only troubles that meet; nil: any two of all
 	Apart    bool          // tasks run for up to more than a minute: those of a small job end far apart
@@ -651,6 +652,12 @@
 		at := w.between(0, w.opt.Length*2/3)
 		w.after(at, func() { w.user(s) })
 	}
+	for range w.opt.Mistakes {
+		s := w.someJob()
+		s.Awaits, s.Service = nil, w.chance(0.2)
+		w.Check.mistaken[s.ID] = &mistake{}
+		w.after(w.between(0, w.opt.Length/3), func() { w.user(s) })
+	}
 	for range w.opt.Chains {
 		w.after(w.between(w.chainsFrom(), w.opt.Length*2/3), w.chain)
 	}
@@ -702,7 +709,9 @@
 				}
 				accepted()
 				w.after(w.between(time.Second, 5*time.Second), poll)
-				if s.Service || w.chance(0.25) {
+				if w.Check.mistaken[s.ID] != nil { // it is long until somebody looks
+					w.after(w.between(60*time.Second, 150*time.Second), cancel)
+				} else if s.Service || w.chance(0.25) {
 					w.after(w.between(time.Second, 60*time.Second), cancel)
 				}
 				if w.chance(0.3) { // a late repeat, with another body
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -253,6 +253,7 @@
 	Done        int      `json:"done"`
 	Running     int      `json:"running"`
 	Reasons     []Reason `json:"reasons,omitempty"`
+	Note        string   `json:"note,omitempty"`         // what its user should know, in plain words
 	Awaits      []string `json:"awaits,omitempty"`       // the first of them
 	AwaitsCount int      `json:"awaits_count,omitempty"` // all of them
 	CancelledBy string   `json:"cancelled_by,omitempty"`
