Revert: idle-time work makes room for other arrays: it was started anew in the room at once

What was stopped had the room again before the waiting work was placed, and each plan stopped more. Making room for arrays needs the room held for those that wait, by machine, until they have it; `hold` tells one claim of one priority, which is too coarse. Not tried further.

--- a/core/lead.go
+++ b/core/lead.go
@@ -38,7 +38,6 @@
 // lead is the state of the leader's term: the array, and the dealings with the cloud.
 type lead struct {
 	token    uint64
-	idleRuns bool // tasks of the least priority are assigned, as of the last plan
 	since    time.Duration
 	array    *ccs.Array
 	acks     map[string]uint64
--- a/core/plan.go
+++ b/core/plan.go
@@ -149,9 +149,6 @@
 			}
 		}
 	}
-	l.idleRuns = slices.ContainsFunc(c.open, func(j *job) bool {
-		return len(j.place) > 0 && j.rec.Spec != nil && j.rec.Spec.Priority == wire.PriorityLeast && !j.final()
-	})
 	needs := c.needs()
 	order := map[pool]int{}
 	var pools []pool // in the order of urgency
@@ -597,7 +594,7 @@
 			}
 		}
 	}
-	if !n.reserve && !n.standby && (s.Service || c.lead.idleRuns && s.Priority < wire.PriorityLeast) {
+	if !n.reserve && !n.standby && s.Service {
 		fill(func(b *bin) bool { return b.m != nil && b.m.up })
 		if made := c.makeRoom(n, h.bins, room); made > 0 {
 			n.n -= made
@@ -643,8 +640,8 @@
 	return now
 }
 
-// makeRoom stops tasks for work that finds no room now, as machines that boot would come too late for it: of lower priority for replicas, and
-// idle-time ones for any other. It takes those with the least work to lose.
+// makeRoom stops tasks of lower priority for replicas that find no room now: machines that
+// boot would come too late for them. It takes those with the least work to lose.
 func (c *Core) makeRoom(n need, bins []*bin, room func(string) int64) int {
 	l := c.lead
 	if at, ok := l.stopped[n.job.idx]; n.n <= 0 || ok && c.now-at < c.cfg.RoomAgain {
@@ -699,11 +696,7 @@
 // victims chooses the tasks of a machine that must go for one task of a need.
 func (c *Core) victims(n need, b *bin) (vs []asg2, cost time.Duration, ok bool) {
 	free := b.avail
-	below := n.spec.Priority
-	if !n.spec.Service {
-		below = max(below, wire.PriorityLeast-1)
-	}
-	all := c.movable(b, below)
+	all := c.movable(b, n.spec.Priority)
 	for i, v := range all {
 		if free.Fits(n.spec.Claim) {
 			break
