Errors of five minutes ago no longer hold a job back

A service completes nothing, so errors on two faulty machines would have had it tried a replica at a time whenever it was lost as a whole later. Errors count for five minutes; one that fails everywhere is tried more often than that.

--- a/core/lanes.go
+++ b/core/lanes.go
@@ -315,8 +315,8 @@
 	switch {
 	case j.waits > 0:
 		q.For, q.Why = "jobs", "it waits for other jobs to be done"
-	case failing(j.rec):
-		q.For, q.Why = "errors", whyFailing(j.rec)
+	case failing(j.rec, c.unixMS()):
+		q.For, q.Why = "errors", whyFailing(j.rec, c.unixMS())
 	case c.now < j.backoff:
 		q.For, q.Why = "errors", "its tasks failed several times in a row; it is tried again in a moment"
 	case !c.teamOf(s).hasRoom(s.Claim):
--- a/core/mistaken.go
+++ b/core/mistaken.go
@@ -15,6 +15,7 @@
 
 const (
 	failsMany   = 3                // errors in a row, of those that a record keeps
+	ofLate      = 5 * time.Minute  // what is older says nothing: a service that met faulty machines once starts at once when it is lost as a whole
 	steadyAfter = 10 * time.Second // from then on a running task shows that others may be tried
 	faultyJobs  = 3                // that fail on a machine, from which on no others go there
 	soundJobs   = 2                // of them that do well elsewhere, from which on it is returned
@@ -23,13 +24,13 @@
 )
 
 // failing reports whether a job, by its record, has done nothing but fail of late.
-func failing(r *ledger.Record) bool {
+func failing(r *ledger.Record, nowMS int64) bool {
 	if r == nil || r.Done.Count() > 0 {
 		return false
 	}
 	n := 0
 	for _, w := range r.Why {
-		if w.Cause == wire.CauseError {
+		if w.Cause == wire.CauseError && nowMS-w.AtMS < ofLate.Milliseconds() {
 			n++
 		}
 	}
@@ -37,9 +38,9 @@
 }
 
 // mistaken reports whether a job, by its record, seems to fail wherever it is started.
-func mistaken(r *ledger.Record) bool {
+func mistaken(r *ledger.Record, nowMS int64) bool {
 	on := ""
-	return failing(r) && slices.ContainsFunc(r.Why, func(w ledger.Reason) bool {
+	return failing(r, nowMS) && slices.ContainsFunc(r.Why, func(w ledger.Reason) bool {
 		if w.Cause != wire.CauseError {
 			return false
 		}
@@ -81,7 +82,7 @@
 	}
 	n := 0
 	for i := range m.failed {
-		if j := c.jobs[i]; j != nil && !mistaken(j.rec) {
+		if j := c.jobs[i]; j != nil && !mistaken(j.rec, c.unixMS()) {
 			n++
 		}
 	}
@@ -111,8 +112,8 @@
 }
 
 // whyFailing says in plain words what becomes of a job that has done nothing but fail of late.
-func whyFailing(r *ledger.Record) string {
-	if mistaken(r) {
+func whyFailing(r *ledger.Record, nowMS int64) string {
+	if mistaken(r, nowMS) {
 		return "nothing of it has completed, and its tasks failed on several machines: it was probably submitted with a mistake; it is tried a task at a time until it is cancelled or one completes"
 	}
 	return "nothing of it has completed, and its tasks failed on one machine: it is tried a task at a time, elsewhere"
--- a/core/mistaken_test.go
+++ b/core/mistaken_test.go
@@ -33,8 +33,11 @@
 			r.AddReason(ledger.Reason{Machine: f[i], Cause: f[i+1]})
 			i++
 		}
-		if failing(r) != x.failing || mistaken(r) != x.mistaken {
-			t.Errorf("%s: failing %v, mistaken %v: %v", name, failing(r), mistaken(r), r.Why)
+		if failing(r, 1000) != x.failing || mistaken(r, 1000) != x.mistaken {
+			t.Errorf("%s: failing %v, mistaken %v: %v", name, failing(r, 1000), mistaken(r, 1000), r.Why)
+		}
+		if failing(r, 1000+ofLate.Milliseconds()) {
+			t.Errorf("%s: failing for ever", name)
 		}
 	}
 }
@@ -51,7 +54,7 @@
 			switch kind {
 			case "mistaken":
 				for n := range 3 {
-					j.rec.AddReason(ledger.Reason{Machine: fmt.Sprint("x", n), Cause: wire.CauseError})
+					j.rec.AddReason(ledger.Reason{Machine: fmt.Sprint("x", n), Cause: wire.CauseError, AtMS: c.unixMS()})
 				}
 			case "sound":
 				j.rec.Done = j.rec.Done.Add(4)
--- a/core/place.go
+++ b/core/place.go
@@ -739,7 +739,7 @@
 			}
 			stopped = append(stopped, ledger.Reason{Task: int(a.Task), Machine: m.name, Cause: cause, AtMS: c.unixMS()})
 			rec.AddReason(stopped[len(stopped)-1])
-			c.blame(j, m, cause, a, mistaken(&rec))
+			c.blame(j, m, cause, a, mistaken(&rec, c.unixMS()))
 		}
 	}
 	p.acts = append(p.acts, stopsOf(j.id, stopped)...)
@@ -943,7 +943,7 @@
 		return p.j.backoff
 	}
 	limit := min(c.maxPlaced()-len(p.place), s.Tasks)
-	if failing(p.rec) {
+	if failing(p.rec, c.unixMS()) {
 		limit = min(limit, c.mostTried(p.j, p.place)-len(p.place))
 	}
 	if t := c.teamOf(s); t != nil && t.limited() {
--- a/core/plan.go
+++ b/core/plan.go
@@ -357,7 +357,7 @@
 				zones[m.zone]++
 			}
 		}
-		if failing(j.rec) {
+		if failing(j.rec, c.unixMS()) {
 			n = min(n, max(0, c.mostTried(j, j.place)-len(j.place)))
 		}
 		if n > 0 && c.now >= j.backoff {
--- a/core/users.go
+++ b/core/users.go
@@ -54,8 +54,8 @@
 		}
 		return s
 	}
-	if failing(j.rec) {
-		s.Note = whyFailing(j.rec)
+	if failing(j.rec, c.unixMS()) {
+		s.Note = whyFailing(j.rec, c.unixMS())
 	}
 	for _, o := range j.needs {
 		if o.rec == nil || o.rec.Stage != ledger.Done {
