--- a/core/cancellations.go
+++ b/core/cancellations.go
@@ -134,8 +134,12 @@
 		if !ok {
 			continue
 		}
-		c.put(it.Key, it.Value, it.Mark)
-		if j := c.knownJob(id); j != nil && j.rec.Stage == ledger.Cancelled && !slices.Contains(held, id) {
+		// What the stream has shown is held, and may have left memory since: a copy that comes late must not bring it back.
+		shown := it.Mark <= c.seen
+		if !shown {
+			c.put(it.Key, it.Value, it.Mark)
+		}
+		if j := c.knownJob(id); (shown || j != nil && j.rec.Stage == ledger.Cancelled) && !slices.Contains(held, id) {
 			held = append(held, id)
 		}
 	}
