--- a/core/plan.go
+++ b/core/plan.go
@@ -25,7 +25,6 @@
 	square float64       // mean square of it
 	gap    time.Duration // mean time between them
 	last   time.Duration
-	seen   int   // jobs of it
 	atMS   int64 // time of day of the last one's acceptance
 }
 
@@ -40,7 +39,6 @@
 		st = &classStat{tasks: float64(r.Spec.Tasks), square: float64(r.Spec.Tasks) * float64(r.Spec.Tasks)}
 		c.classes[key] = st
 	}
-	st.seen++
 	st.square += (float64(r.Spec.Tasks)*float64(r.Spec.Tasks) - st.square) / 16
 	st.tasks += (float64(r.Spec.Tasks) - st.tasks) / 8
 	if at := time.Duration(r.AtMS-st.atMS) * time.Millisecond; st.atMS != 0 && at >= 0 {
@@ -371,10 +369,6 @@
 		if running[class] == 0 && c.now-st.last > 3*time.Minute {
 			continue
 		}
-		// Room is kept for work that comes again, and not for what runs in the room that others leave.
-		if st.seen < 2 || st.spec.Priority == wire.PriorityLeast {
-			continue
-		}
 		n := int(math.Ceil(c.spare(st, running[class])))
 		if n <= 0 {
 			continue
