The stand-in world builds without its tests again; one piece each, and less for each report

- For each answered report the machine's tasks were sorted twice, mostly to find none of them cancelled: only those that are are sorted now.
The machines on which a job has failed were looked up for each candidate, with a count of its done set: they are listed once per choice.
- Why a report gets no answer is said in one place (whyNot), which looks for late starts only if nothing else speaks against it.
- A mark of cancellation is rendered by one function, a controller's end around a write is planned by one, submissions of the meetings by one, seconds of the platform by one.
Library functions in place of two loops.
Out: a time that always equalled another, machines that nothing read, a condition that always held.

--- a/controller.go
+++ b/controller.go
@@ -84,7 +84,6 @@
 	k := &p.Cluster
 	parts := sockets.Of(k.Quota.FDLimit)
 	ms := func(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
-	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 	now, next := &k.State, &k.State.Next
 	cfg := core.Config{
 		// Of the platform.
@@ -97,10 +96,10 @@
 		ValueBytes:   int(least(now.ValueKB, next.ValueKB) * 1024),
 		TxnOps:       least(now.TxnOps, next.TxnOps),
 		CloudRPS:     max(1, k.Cloud.RPS*0.9),
-		ListLag:      sec(k.Cloud.ListLagS),
-		ReportEvery:  sec(k.Workers.ReportS),
-		WorkerLease:  sec(k.Workers.LeaseS),
-		CancelIn:     sec(k.Workers.CancelS),
+		ListLag:      settings.Seconds(k.Cloud.ListLagS),
+		ReportEvery:  settings.Seconds(k.Workers.ReportS),
+		WorkerLease:  settings.Seconds(k.Workers.LeaseS),
+		CancelIn:     settings.Seconds(k.Workers.CancelS),
 		AuditForget:  lateMost,
 		TimeBoundMS:  uint32(k.TimeBoundMS),
 		OrdersMost:   parts.Orders,
--- a/core/cancellations.go
+++ b/core/cancellations.go
@@ -1,9 +1,10 @@
 package core
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"dewlift/core/ledger"
@@ -45,13 +46,16 @@
 	return j.rec != nil && j.rec.Stage == ledger.Cancelled && len(j.place) > 0
 }
 
+// cancelledAt is a revision at which a cancelled job's cancellation was there: whoever has seen it knows of that.
+func (j *job) cancelledAt() uint64 { return max(j.mark, j.cancelMark) }
+
 // mayTell reports whether users may be told that a job is cancelled.
 func (c *Core) mayTell(j *job) bool {
 	if !j.lingers() || j.mayTell {
 		return true
 	}
 	// A controller of an older version neither vouches nor asks: as long as there may be one, the tasks must be gone.
-	j.mayTell = c.form() >= formQuorum && c.view.MayTell(max(j.mark, j.cancelMark), j.heldBy)
+	j.mayTell = c.form() >= formQuorum && c.view.MayTell(j.cancelledAt(), j.heldBy)
 	return j.mayTell
 }
 
@@ -116,10 +120,7 @@
 		}
 		items = append(items, wire.Item{Key: keyJob + j.id, Value: raw, Mark: j.mark})
 		if j.cancelMark != 0 {
-			raw, err := json.Marshal(cancelMark{CancelMS: j.markedMS, Carried: j.markCarried})
-			if err != nil {
-				panic(err) // a number, and bytes
-			}
+			raw := cancelMark{CancelMS: j.markedMS, Carried: j.markCarried}.encode()
 			items = append(items, wire.Item{Key: keyCancel + j.id, Value: raw, Mark: j.cancelMark})
 		}
 	}
@@ -148,8 +149,8 @@
 
 func jobOfCancellation(key string) (id string, ok bool) {
 	for _, prefix := range []string{keyJob, keyCancel} {
-		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
-			return key[len(prefix):], true
+		if id, ok := strings.CutPrefix(key, prefix); ok && id != "" {
+			return id, true
 		}
 	}
 	return "", false
@@ -176,7 +177,7 @@
 	if q := m.QuorumRead; q != nil {
 		var list []*job
 		for _, j := range c.open {
-			if j.lingers() && max(j.mark, j.cancelMark) > q.Since {
+			if j.lingers() && j.cancelledAt() > q.Since {
 				list = append(list, j)
 			}
 		}
@@ -193,14 +194,17 @@
 // stopsFor are the orders that go with the answer to a worker's report: whatever is cancelled there stops. That needs no write and no right
 // to the job's shard.
 func (c *Core) stopsFor(m *machine) []wire.Order {
-	list := []wire.Order{}
-	for _, k := range m.sortedPieces() {
-		j := c.jobs[k.job]
-		if m.pieces[k].state == wire.TaskExited || j == nil || j.rec == nil || j.rec.Stage != ledger.Cancelled {
-			continue
+	var keys []attKey // mostly none: only these are sorted, as each report is answered
+	for k, p := range m.pieces {
+		if j := c.jobs[k.job]; p.state != wire.TaskExited && j != nil && j.rec != nil && j.rec.Stage == ledger.Cancelled {
+			keys = append(keys, k)
 		}
+	}
+	slices.SortFunc(keys, attKey.compare)
+	list := []wire.Order{}
+	for _, k := range keys {
 		grace := 0.0
-		list = append(list, wire.Order{Op: wire.OpStop, Piece: wire.TaskName(j.id, int(k.task)), Try: k.try, GraceS: &grace})
+		list = append(list, wire.Order{Op: wire.OpStop, Piece: wire.TaskName(c.jobs[k.job].id, int(k.task)), Try: k.try, GraceS: &grace})
 	}
 	return list
 }
@@ -208,30 +212,40 @@
 // mayComeBack names a cancelled task that is not on a machine and may still be started there by an order on its way, too late. Such an order is
 // of the machine's session: who does not renew its lease ends that. (In an outage no higher token can be had, which would do it too.)
 func (c *Core) mayComeBack(m *machine) string {
-	for _, a := range m.sortedTasks() {
-		j := c.jobs[a.job]
+	var late []taskKey // mostly none
+	for k, a := range m.asg {
+		j := c.jobs[k.job]
 		if !j.lingers() || a.Session != m.session || time.Duration(c.unixMS()-j.rec.CancelMS)*time.Millisecond <= c.bound() {
 			continue
 		}
-		if _, there := m.pieces[attKey{a.job, a.Task, a.Try}]; there {
+		if _, there := m.pieces[attKey{k.job, k.task, a.Try}]; there {
 			continue // the answer stops it
 		}
-		if ended, _ := c.fate(j, a.Asg); !ended {
-			return wire.TaskName(j.id, int(a.Task))
+		if ended, _ := c.fate(j, a); !ended {
+			late = append(late, k)
 		}
 	}
-	return ""
+	if len(late) == 0 {
+		return ""
+	}
+	first := slices.MinFunc(late, func(a, b taskKey) int { return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task)) })
+	return wire.TaskName(c.jobs[first.job].id, int(first.task))
 }
 
 func (c *Core) bound() time.Duration { return quorum.MaxStale(c.cfg.CancelIn, c.cfg.WorkerLease) }
 
-// whyNot tells why this controller may not renew a lease now; "" if it may.
-func (c *Core) whyNot() string {
+// whyNot tells why this controller may not renew the lease of a machine, by its report, now; "" if it may.
+func (c *Core) whyNot(m *machine, r *wire.Report) string {
 	switch {
 	case !c.entitled():
 		return "not entitled"
 	case !c.view.Fresh(c.now):
 		return fmt.Sprintf("cancellations of more than %v ago may not be known here", c.bound().Round(time.Second))
+	case r.Token > c.epoch:
+		return "token not current"
+	}
+	if late := c.mayComeBack(m); late != "" {
+		return "a late order may still start a cancelled task there: " + late
 	}
 	return ""
 }
--- a/core/form.go
+++ b/core/form.go
@@ -130,16 +130,21 @@
 	Carried  []audit.Carried `json:"e,omitempty"`
 }
 
+func (m cancelMark) encode() json.RawMessage {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // a number, and bytes
+	}
+	return raw
+}
+
 // markCancelled cancels a job whose record is too large to be written again as it is: an older
 // version may have stored it under larger limits. The mark is one small durable write. The
 // record follows as its tasks end, and its writers see to it that there is no mark.
 func (c *Core) markCancelled(j *job, ms int64, conds []wire.Cond, acts []recorder.Act) {
 	key := keyCancel + j.id
 	list, ids := c.recorder().Carry(key, j.cancelMark, j.markCarried, acts)
-	raw, err := json.Marshal(cancelMark{CancelMS: ms, Carried: list})
-	if err != nil {
-		panic(err) // a number, and bytes
-	}
+	raw := cancelMark{CancelMS: ms, Carried: list}.encode()
 	j.inflight = true
 	c.commit(wire.Txn{If: append(conds, wire.Cond{Key: keyJob + j.id, Mark: j.mark}, wire.Cond{Key: key, Mark: j.cancelMark}),
 		Then: []wire.Write{{Put: key, Value: raw}}}, &txn{done: func(status int, _ wire.TxnReply) {
--- a/core/mistaken.go
+++ b/core/mistaken.go
@@ -49,12 +49,18 @@
 	})
 }
 
-// failedOn reports whether tasks of a job have failed on a machine of late. One of which nothing has completed is tried elsewhere first: else its tasks
+// failedOn lists the machines on which tasks of a job have failed of late. One of which nothing has completed is tried elsewhere first: else its tasks
 // went to the same machine again and again, and neither was told from the other.
-func (c *Core) failedOn(r *ledger.Record, machine string) bool {
-	return r.Done.Count() == 0 && slices.ContainsFunc(r.Why, func(w ledger.Reason) bool {
-		return w.Cause == wire.CauseError && w.Machine == machine && c.unixMS()-w.AtMS < elsewhere.Milliseconds()
-	})
+func (c *Core) failedOn(r *ledger.Record) (machines []string) {
+	if r.Done.Count() > 0 {
+		return nil
+	}
+	for _, w := range r.Why {
+		if w.Cause == wire.CauseError && c.unixMS()-w.AtMS < elsewhere.Milliseconds() {
+			machines = append(machines, w.Machine)
+		}
+	}
+	return machines
 }
 
 // mostTried is how many tasks of a job that seems to fail everywhere may be assigned at a time: more with each that keeps running. Nothing of a service ever
--- a/core/place.go
+++ b/core/place.go
@@ -983,11 +983,11 @@
 			only = c.bestZone(s)
 		}
 	}
-	others := c.placesOf(prio, at)
+	others, shun := c.placesOf(prio, at), c.failedOn(p.rec)
 	ask := ccs.Ask{N: int(math.Ceil(c.cfg.ProbeRatio * float64(len(tasks)))), Claim: s.Claim, Fill: c.cfg.RandomFill, Keep: s.Spot,
 		Allow: func(i int32) bool {
 			m := c.machines[i]
-			return c.usable(m) && c.allowed(s, m) && !c.failedOn(p.rec, m.name) && (only == "" || m.zone == only) && !(held && c.copy.Row(i).Avail.Fits(c.hold.Claim))
+			return c.usable(m) && c.allowed(s, m) && !slices.Contains(shun, m.name) && (only == "" || m.zone == only) && !(held && c.copy.Row(i).Avail.Fits(c.hold.Claim))
 		}}
 	if !c.copy.Valid(c.now) {
 		for _, m := range c.alive {
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -8,7 +8,10 @@
 // all keys since. The package sends nothing, knows no job, and times come in.
 package quorum
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Site is what a View depends on.
 type Site struct {
@@ -39,7 +42,6 @@
 	current time.Duration // as of when it was last
 	nonce   uint64        // of the question that was asked last; 0: none
 	sent    time.Duration // when
-	tried   time.Duration // when it was asked or repeated last
 	said    map[string]bool
 	holds   map[string]uint64 // revision up to which each of the others has held all cancellations
 }
@@ -70,14 +72,14 @@
 
 // AskDue reports whether the others are to be asked for their word: reads have brought nothing for a while.
 func (v *View) AskDue(now time.Duration) bool {
-	return v.aged(now, 3) && (v.nonce == 0 || now >= v.tried+askAgain)
+	return v.aged(now, 3) && (v.nonce == 0 || now >= v.sent+askAgain)
 }
 
 const askAgain = time.Second
 
 // Ask begins a question to all others. The nonce is one that no other life of this controller has used.
 func (v *View) Ask(now time.Duration, nonce uint64) {
-	v.nonce, v.sent, v.tried = nonce, now, now
+	v.nonce, v.sent = nonce, now
 	clear(v.said)
 	v.majority()
 }
@@ -103,14 +105,7 @@
 // most reports whether so many others and this controller are a majority of all.
 func (v *View) most(others int) bool { return (others+1)*2 > len(v.site.Peers)+1 }
 
-func (v *View) knows(peer string) bool {
-	for _, p := range v.site.Peers {
-		if p == peer {
-			return true
-		}
-	}
-	return false
-}
+func (v *View) knows(peer string) bool { return slices.Contains(v.site.Peers, peer) }
 
 // Acked notes that one of the others has held all cancellations up to a revision at some time. That it has ended since changes nothing: its
 // next life vouches for none before it has read all keys, and they show these.
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -208,7 +208,7 @@
 				}
 				o.extra[r] = true
 				m.send(k, i, func() {
-					if p.life == life && acks != nil {
+					if p.life == life {
 						acks[o.name] = true
 					}
 				})
--- a/core/users.go
+++ b/core/users.go
@@ -436,14 +436,7 @@
 
 func (c *Core) answerBeat(in Beat) {
 	m := c.machine(in.Report.Machine)
-	why := c.whyNot()
-	if why == "" && in.Report.Token > c.epoch {
-		why = "token not current"
-	}
-	if late := c.mayComeBack(m); why == "" && late != "" {
-		why = "a late order may still start a cancelled task there: " + late
-	}
-	if why != "" {
+	if why := c.whyNot(m, in.Report); why != "" {
 		c.refuse(in.Req, why)
 		return
 	}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -316,10 +316,7 @@
 }
 
 // mistake is what became of a job whose tasks fail on every machine.
-type mistake struct {
-	starts []time.Duration
-	on     map[string]bool // machines that it failed on
-}
+type mistake struct{ starts []time.Duration }
 
 // What a job with a mistake may cost: its tasks once, and then so many starts a minute, with owners that end and forget how often they have tried.
 const mistakenStarts = 20
@@ -337,13 +334,6 @@
 	}
 }
 
-func (x *mistake) failedOn(machine string) {
-	if x.on == nil {
-		x.on = map[string]bool{}
-	}
-	x.on[machine] = true
-}
-
 // Completed notes that a task completed on a worker.
 func (k *Checker) Completed(id string, task int) {
 	j := k.jobs[id]
--- a/internal/sim/gap_test.go
+++ b/internal/sim/gap_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -27,21 +26,6 @@
 
 const gapAt = 60 * time.Second
 
-// leaderOf is the controller that holds the leadership.
-func (w *World) leaderOf() *node {
-	var h struct {
-		Node string `json:"n"`
-	}
-	if it := w.state.keys[core.Root+"leader"]; it != nil && json.Unmarshal(it.Value, &h) == nil {
-		for _, n := range w.nodes {
-			if n.name == h.Node {
-				return n
-			}
-		}
-	}
-	return w.nodes[0]
-}
-
 // until repeats a request of a user to controllers of a choice until it is answered so.
 func (w *World) until(pick func() *node, in func(req uint64) core.Input, verb, id string, ok func(r core.Reply) bool, then func(n *node)) {
 	var try func()
@@ -77,6 +61,13 @@
 	return func() *node { return list[w.rng.IntN(len(list))] }
 }
 
+func (w *World) submitAt(pick func() *node, s wire.Spec) {
+	w.Check.Submitted(s)
+	w.until(pick, func(r uint64) core.Input {
+		return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: startMS + w.now.Milliseconds()}
+	}, "submit", s.ID, func(r core.Reply) bool { return r.Status == 200 || r.Status == 201 }, func(*node) {})
+}
+
 func (w *World) cancelAt(pick func() *node, id string, told func(*node)) {
 	w.Check.Asked(id)
 	w.until(pick, func(r uint64) core.Input {
@@ -112,13 +103,7 @@
 	}
 	for i := range jobs {
 		s := spec(i)
-		w.Check.Submitted(s)
-		w.after(w.between(5*time.Second, 15*time.Second), func() {
-			w.until(w.others(nil), func(r uint64) core.Input {
-				return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: startMS + w.now.Milliseconds()}
-			},
-				"submit", s.ID, func(r core.Reply) bool { return r.Status == 200 || r.Status == 201 }, func(*node) {})
-		})
+		w.after(w.between(5*time.Second, 15*time.Second), func() { w.submitAt(w.others(nil), s) })
 	}
 	var where map[string]string
 	on := func() map[string]string {
@@ -259,13 +244,6 @@
 		s := wire.Spec{ID: "wk-000001", Class: "c", Team: "t0", Service: true, Tasks: 2, Claim: [3]int64{1000, 0, 1000}}
 		first := s
 		first.ID = "wk-000000" // so that there are machines with room
-		submit := func(s wire.Spec) {
-			w.Check.Submitted(s)
-			w.until(w.others(nil), func(r uint64) core.Input {
-				return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: startMS + w.now.Milliseconds()}
-			},
-				"submit", s.ID, func(r core.Reply) bool { return r.Status == 201 || r.Status == 200 }, func(*node) {})
-		}
 		held := 0
 		w.lateOrder = func(o core.Orders) time.Duration {
 			for _, x := range o.Body.Orders {
@@ -277,8 +255,8 @@
 			return 0
 		}
 		told := time.Duration(0)
-		w.after(5*time.Second, func() { submit(first) })
-		w.after(50*time.Second, func() { submit(s) })
+		w.after(5*time.Second, func() { w.submitAt(w.others(nil), first) })
+		w.after(50*time.Second, func() { w.submitAt(w.others(nil), s) })
 		w.after(51*time.Second, func() {
 			w.cancelAt(w.others(nil), s.ID, func(*node) {
 				told = w.now
--- a/internal/sim/meet.go
+++ b/internal/sim/meet.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -48,6 +49,21 @@
 		"slow": w.slowState, "held orders": w.heldOrders}
 }
 
+// leaderOf is the controller that holds the leadership.
+func (w *World) leaderOf() *node {
+	var h struct {
+		Node string `json:"n"`
+	}
+	if it := w.state.keys[core.Root+"leader"]; it != nil && json.Unmarshal(it.Value, &h) == nil {
+		for _, n := range w.nodes {
+			if n.name == h.Node {
+				return n
+			}
+		}
+	}
+	return w.nodes[0]
+}
+
 func (w *World) someNode() *node {
 	if w.chance(0.5) {
 		return w.leaderOf()
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -743,10 +743,9 @@
 		t.stage = wire.TaskRunning
 		m.w.Check.On(m.w.now, id, n, m.m)
 		m.w.order.begins(id)
-		if x := m.w.Check.mistaken[id]; x != nil {
+		if m.w.Check.mistaken[id] != nil {
 			m.w.after(m.w.between(100*time.Millisecond, 3*time.Second), func() {
 				if !m.gone && t.run == run {
-					x.failedOn(m.m.Name)
 					m.exit(t, wire.CauseError)
 				}
 			})
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -256,6 +256,17 @@
 	})
 }
 
+// crashSoon has a controller end around what it is about to do at the state service: before it is executed, or before its answer.
+func (w *World) crashSoon(n *node, in string) {
+	life := n.life
+	w.after(w.between(0, 12*time.Millisecond), func() {
+		if n.life == life && !n.down {
+			w.Trace("%v crash %s in %s", w.now, n.name, in)
+			w.crash(n)
+		}
+	})
+}
+
 // step gives an input to a core and carries out what follows.
 func (w *World) step(n *node, in core.Input) {
 	if n.down {
@@ -322,23 +333,13 @@
 		if books(o.Txn) { // likewise, and often the last that their sender did
 			late = 0.06
 			if !w.opt.Quiet && w.chance(0.01) {
-				w.Trace("%v crash %s in a booking", w.now, n.name)
-				w.after(w.between(0, 12*time.Millisecond), func() {
-					if n.life == life && !n.down {
-						w.crash(n)
-					}
-				})
+				w.crashSoon(n, "a booking")
 			}
 		}
 		if moves(o.Txn) { // rare elsewhere: here often late, or the last that their sender did
 			late = 0.15
 			if !w.opt.Quiet && w.chance(0.04) {
-				w.Trace("%v crash %s in a move", w.now, n.name)
-				w.after(w.between(0, 12*time.Millisecond), func() {
-					if n.life == life && !n.down {
-						w.crash(n)
-					}
-				})
+				w.crashSoon(n, "a move")
 			}
 		}
 		w.rpc(n.name, "state", 2*time.Second, max(after, w.lateness(late)), func() {
@@ -558,13 +559,7 @@
 		return
 	}
 	if w.chance(0.02) {
-		life := n.life
-		w.after(w.between(0, 12*time.Millisecond), func() {
-			if n.life == life && !n.down {
-				w.Trace("%v crash %s in a write", w.now, n.name)
-				w.crash(n)
-			}
-		})
+		w.crashSoon(n, "a write")
 	}
 	if w.chance(0.05) {
 		w.after(w.between(10*time.Millisecond, 20*time.Second), func() { w.state.commit(n.name, t) })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -108,6 +108,9 @@
 	return p, nil
 }
 
+// Seconds is a duration as the platform writes it.
+func Seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
 // leastOps is the least number of changes a transaction must take: a claim raises the token, and
 // starts of a team with a limit write its key.
 const leastOps = 2
@@ -142,7 +145,7 @@
 			return fmt.Errorf("cluster.%s must be greater than 0", v.field)
 		}
 	}
-	if sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }; quorum.MaxStale(sec(c.Workers.CancelS), sec(c.Workers.LeaseS)) < quorum.Least {
+	if quorum.MaxStale(Seconds(c.Workers.CancelS), Seconds(c.Workers.LeaseS)) < quorum.Least {
 		return fmt.Errorf("cluster.workers.cancel_s is too little above lease_s (%v and %v): a task could outlive its cancellation in an outage; some 6 s more are needed",
 			c.Workers.CancelS, c.Workers.LeaseS)
 	}
