Whoever joins an acceptance after its write was sent is answered by a read of their own

Cause: a submission of a job whose write was on its way waited for that write and was told its outcome, "queued". The write had been sent before the submission came; another controller may have read it, and told the job's end or cancellation since. The same held of those who waited when the stream or a barrier on its way showed the record. And a repeat that outlived a reading of all keys answered from a job that had left memory.

Change: one place, Core.tellCurrent, answers questions, repeats and those who join: what is over from memory, anything else as of a read that begins then. With rights in force it is a barrier and the rights after it. An ordinary submission costs no read more: the first and those that came before the write was sent are told by it as before.

Result: TestJoinedSubmissionIsAnsweredByItsOwnRead, red without it in both variants.

--- a/core/core.go
+++ b/core/core.go
@@ -186,6 +186,7 @@
 
 type accept struct {
 	reqs    []uint64
+	sent    int // how many of them came before its write was sent
 	by      Cred
 	spec    wire.Spec
 	unixMS  int64
--- a/core/history.go
+++ b/core/history.go
@@ -432,11 +432,16 @@
 		c.note("error", "value not understood", "key", it.Key, "err", err.Error())
 		return false
 	}
+	if it.Mark > c.seen {
+		// It is on its way with the stream of changes, and was never counted as cold: counted out here, it left one job too few, and another that
+		// had left memory was denied.
+		c.afterBarrier(func(bool) {})
+		return true
+	}
 	if r.Spec == nil && r.Stage != ledger.Queued {
 		c.Stats.Recalled++
 		c.remember(id, r, it.Mark, false)
 	}
-	// Any other is on its way with the stream of changes.
 	return true
 }
 
--- a/core/history_test.go
+++ b/core/history_test.go
@@ -407,3 +407,48 @@
 		t.Errorf("written: %v, answered %+v", accepted(out, "wk-5") != nil, r)
 	}
 }
+
+// A record read by its key that the stream of changes has not shown yet is not one of those that were counted as cold. It was counted out, and
+// the next accepted job that had left memory was denied, as no record seemed to be left to look for.
+func TestRecordAheadOfTheStreamIsNoColdOne(t *testing.T) {
+	const over = `{"h":0,"st":"c"}`
+	old, fresh := event(keyJob+"wk-000001", over, 4), event(keyJob+"wk-000002", over, 9)
+	c := serving(t)
+	c.hist.cold = 1 // wk-000001, which left memory
+	now, shown := 1100*time.Millisecond, uint64(0)
+	// asks polls a job, and answers reads of records as they are, and reads of changes up to shown.
+	asks := func(id string) (replies []Reply) {
+		c.Handle(now, Poll{Req: 1, ID: id})
+		for range 12 {
+			now += 50 * time.Millisecond
+			out := c.Advance(now)
+			replies = append(replies, outputs[Reply](out)...)
+			for _, s := range outputs[Scan](out) {
+				in := Scanned{ID: s.ID, Status: 404, Ledger: 9}
+				for _, e := range []wire.Event{old, fresh} {
+					if e.Put == s.Key {
+						in.Status, in.Items = 200, []wire.Item{{Key: e.Put, Value: e.Value, Mark: e.Mark}}
+					}
+				}
+				c.Handle(now, in)
+			}
+			for _, x := range outputs[Changes](out) {
+				if x.Hold {
+					continue
+				}
+				in := Changed{Status: 200, Changes: wire.Changes{Ledger: 6}}
+				if shown > 0 {
+					in.Changes = wire.Changes{Ledger: shown, Log: []wire.Event{fresh}}
+				}
+				c.Handle(now, in)
+				shown = 9 // wk-000002 is accepted and cancelled between the read of changes and that of its record
+			}
+		}
+		return replies
+	}
+	for _, id := range []string{"wk-000002", "wk-000001"} {
+		if r := asks(id); len(r) != 1 || r[0].Status != 200 || r[0].Body.(wire.JobState).Stage != wire.StageCancelled {
+			t.Errorf("%s, accepted and cancelled: got %+v", id, r)
+		}
+	}
+}
--- a/core/place.go
+++ b/core/place.go
@@ -615,6 +615,9 @@
 		t.locked = true
 	}
 	for _, p := range b.props {
+		if p.accept {
+			p.j.accept.sent = len(p.j.accept.reqs)
+		}
 		for _, a := range p.started {
 			b.c.delta(true, p.j, a, p.spec.Claim)
 		}
--- a/core/users.go
+++ b/core/users.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"time"
 
 	"dewlift/access"
@@ -92,37 +91,44 @@
 		c.pollGuarded(in)
 		return
 	}
+	c.tellCurrent(in.Req, in.ID)
+}
+
+// tellCurrent answers with a job's state: one that is over from memory, as it stays so, any other as of a read that begins now. So nobody is told
+// what was true only before they asked: others may have been told an end or a cancellation since. Whoever asks, repeats a submission, or joins one
+// whose write was sent before, is answered here.
+func (c *Core) tellCurrent(req uint64, id string) {
 	if !c.loaded {
-		c.refuse(in.Req, "not caught up")
+		c.refuse(req, "not caught up")
 		return
 	}
-	if j := c.recall(in.ID); j != nil && j.final() {
-		c.reply(in.Req, 200, c.state(j))
+	if j := c.recall(id); j != nil && j.final() {
+		c.reply(req, 200, c.state(j))
 		return
 	}
-	if !wire.ValidJobID(in.ID) {
-		c.reply(in.Req, 404, wire.Error{Error: "no such job"})
+	if !wire.ValidJobID(id) {
+		c.reply(req, 404, wire.Error{Error: "no such job"})
 		return
 	}
 	if c.stateDown() {
-		c.refuse(in.Req, "state service not reached")
+		c.refuse(req, "state service not reached")
 		return
 	}
 	c.afterBarrier(func(ok bool) {
-		j := c.knownJob(in.ID)
+		j := c.knownJob(id)
 		switch {
 		case !ok && (j == nil || !j.final()):
-			c.refuse(in.Req, "state service not reached")
+			c.refuse(req, "state service not reached")
 		case j == nil:
-			c.findFor(in.Req, in.ID, func(j *job) {
+			c.findFor(req, id, func(j *job) {
 				if j == nil {
-					c.reply(in.Req, 404, wire.Error{Error: "no such job"})
+					c.reply(req, 404, wire.Error{Error: "no such job"})
 					return
 				}
-				c.reply(in.Req, 200, c.state(j))
+				c.reply(req, 200, c.state(j))
 			})
 		default:
-			c.reply(in.Req, 200, c.state(j))
+			c.reply(req, 200, c.state(j))
 		}
 	})
 }
@@ -155,8 +161,8 @@
 		c.refuse(in.Req, "not caught up")
 		return
 	}
-	if j := c.recall(in.ID); j != nil {
-		c.repeat(in.Req, j)
+	if c.recall(in.ID) != nil {
+		c.repeat(in.Req, in.By, in.spec(), in.ID)
 		return
 	}
 	status, why := c.judge(&in)
@@ -213,22 +219,22 @@
 	}
 }
 
-// repeat answers the submission of a job that is known.
-func (c *Core) repeat(req uint64, j *job) {
-	if j.final() {
-		c.reply(req, 200, c.state(j))
+// repeat answers the submission of a job that is there already, by somebody who could submit it. A submission that finds it without rights in force
+// goes the way of a question.
+func (c *Core) repeat(req uint64, by Cred, s *wire.Spec, id string) {
+	if !c.guarded() {
+		c.tellCurrent(req, id)
 		return
 	}
-	if c.stateDown() {
-		c.refuse(req, "state service not reached")
-		return
-	}
-	c.afterBarrier(func(ok bool) {
-		if !ok && !j.final() {
-			c.refuse(req, "state service not reached")
-			return
+	c.lookAt(req, id, func(j *job) {
+		switch {
+		case j == nil:
+			c.refuse(req, unreadable)
+		case !c.mayRepeat(by, s, j):
+			c.forbid(req, by, "submit", id, "the id is another's")
+		default:
+			c.reply(req, 200, c.state(j))
 		}
-		c.reply(req, 200, c.state(j))
 	})
 }
 
@@ -321,9 +327,11 @@
 	c.note("debug", "submission answered", "job", j.id, "status", status, "after_ms", (c.now - a.since).Milliseconds(), "failed", a.failed)
 	for i, req := range a.reqs {
 		switch {
-		case status == 403 || status == 200 && !c.mayRepeat(a.by, &a.spec, j):
-			c.forbid(req, a.by, "submit", j.id, cmp.Or(why, "the id is another's"))
-		case status == 200 || status == 201 && i > 0:
+		case status == 403:
+			c.forbid(req, a.by, "submit", j.id, why)
+		case status == 200 || status == 201 && i >= a.sent: // came after the write was sent, which others may have read since
+			c.repeat(req, a.by, &a.spec, j.id)
+		case status == 201 && i > 0:
 			c.reply(req, 200, c.state(j))
 		case status == 201:
 			c.Stats.Accepted++
--- /dev/null
+++ b/core/users_test.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"dewlift/wire"
+)
+
+// A submission that joins one whose write is on its way is answered by a read sent after it came. It was told «queued» by that write alone, which
+// another controller had read, and had told the cancellation that followed.
+func TestJoinedSubmissionIsAnsweredByItsOwnRead(t *testing.T) {
+	const written = `{"h":0,"s":{"cl":"c","tm":"t","pr":2,"n":1,"rc":[1000,0,1000]},"at":1}`
+	const cancelled = `{"h":0,"st":"c","cm":1}`
+	for name, answer := range map[string]func(c *Core, x *Commit) []Output{
+		"the write's answer": func(c *Core, x *Commit) []Output {
+			c.Handle(1200*time.Millisecond, Committed{ID: x.ID, Status: 200, Reply: wire.TxnReply{Ledger: 7}})
+			return c.Advance(1200 * time.Millisecond)
+		},
+		"overtaken, and the stream": func(c *Core, x *Commit) []Output {
+			c.Handle(1200*time.Millisecond, Committed{ID: x.ID, Status: 429})
+			return stream(c, 1200*time.Millisecond, 7, event(keyJob+"wk-000001", written, 7))
+		},
+	} {
+		c := serving(t)
+		in := submitted("wk-000001")
+		c.Handle(1100*time.Millisecond, in)
+		x := accepted(c.Advance(1100*time.Millisecond), in.ID)
+		if x == nil {
+			t.Fatal("not written")
+		}
+		in.Req = 2
+		c.Handle(1150*time.Millisecond, in)
+		out := answer(c, x)
+		out = append(out, c.Advance(1600*time.Millisecond)...)
+		for _, r := range outputs[Reply](out) {
+			if r.Req == 2 {
+				t.Errorf("%s: answered without a read: %+v", name, r)
+			}
+		}
+		if len(outputs[Changes](out)) == 0 {
+			t.Errorf("%s: no read was sent", name)
+			continue
+		}
+		c.Handle(1700*time.Millisecond, Changed{Status: 200, Changes: wire.Changes{Ledger: 8, Log: []wire.Event{event(keyJob+"wk-000001", cancelled, 8)}}})
+		got := ""
+		for _, r := range outputs[Reply](c.Advance(1700 * time.Millisecond)) {
+			if st, ok := r.Body.(wire.JobState); ok && r.Req == 2 {
+				got = st.Stage
+			}
+		}
+		if got != wire.StageCancelled {
+			t.Errorf("%s: answered %q", name, got)
+		}
+	}
+}
