Machines with cancelled tasks are returned in an outage too, when nobody leads

Cause: the state service is down for all for longer than a cancellation may take, right after users were told of cancellations, and machines with the cancelled tasks hang meanwhile. A machine that hangs neither hears a stop nor ends its session; only its return takes the tasks off it, and returns were the leader's, who has no lease in an outage.

Change: in an outage that a majority agrees on, each controller returns, in a machine's order and 2 s after the one before it, machines that are silent past the share of a cancellation's time which the leader goes by, and at 0.7 of it those that still report the task. Silence counts only while this controller has not stood still. A machine that reports without the task is left alone: old records may not show that it ended.

Ruled out: returning whatever is not proven ended; a controller that was refused holds old records, and healthy machines went (caught by the gap worlds, as was a controller that stands still).

--- a/core/core.go
+++ b/core/core.go
@@ -319,6 +319,7 @@
 	untold []untold
 	heldTo uint64        // up to this revision others have told of all cancellations
 	readAt time.Duration // when the state service is read next for the sake of that
+	rescue rescue        // see orders.go
 
 	waiters int // jobs that waited to be looked at for a write, at the last look
 
@@ -360,6 +361,8 @@
 	sends     map[uint64]send
 	relayed   map[uint64]relayed
 	started   time.Duration
+	advanced  time.Duration // when time passed here last
+	awake     time.Duration // since when it has without a pause: what was not heard in one is no sign of silence
 	Stats     Stats
 }
 
@@ -590,9 +593,15 @@
 	}
 }
 
+const stoodStill = time.Second // without any input: a controller has a clock that ticks many times a second
+
 // Advance lets time pass, does what is due and returns all outputs since the last call.
 func (c *Core) Advance(now time.Duration) []Output {
 	c.now = max(c.now, now)
+	if c.now-c.advanced > stoodStill {
+		c.awake = c.now
+	}
+	c.advanced = c.now
 	c.budget.Advance(c.now, c.cfg.TxnOps)
 	c.follow()
 	c.keepLease()
@@ -613,6 +622,7 @@
 		c.sweepStep()
 		c.leadStep()
 		c.drain()
+		c.returnInOutage()
 		c.orders()
 		c.tellPeers()
 	}
--- a/core/orders.go
+++ b/core/orders.go
@@ -340,3 +340,66 @@
 	}
 	return suspects
 }
+
+// rescue is this controller's work for cancelled jobs while nobody leads.
+type rescue struct {
+	busy bool // a return is on its way
+	at   time.Duration
+}
+
+const (
+	rescueEvery = time.Second
+	rescueRank  = 2 * time.Second // that each controller leaves to the one before it in a machine's order
+	rescueShare = 0.7             // of the time of a cancellation, after which also machines that report are returned
+)
+
+// returnInOutage returns machines on which cancelled tasks may still be, while the state service is down for all and so nobody leads: one that
+// hangs or is cut off kept them beyond their time, as nothing but its return takes them off it. Returning needs neither a write nor a right. It
+// may be repeated by anybody, and what is returned in vain costs work that is begun again. Whoever leads afterwards has the proof by returning
+// them once more.
+func (c *Core) returnInOutage() {
+	r := &c.rescue
+	if r.busy || c.now < r.at || c.leaseOK() || !c.outage() {
+		return
+	}
+	r.at = c.now + rescueEvery
+	due := map[string]bool{}
+	for _, j := range c.open {
+		if !j.lingers() {
+			continue
+		}
+		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
+		for _, a := range j.place {
+			m := c.machines[a.Machine]
+			if ended, _ := c.fate(j, a); ended {
+				continue
+			}
+			share := rescueShare
+			if c.now-max(m.heard, c.awake) > c.silent() {
+				share = c.cfg.CancelShare
+			} else if _, there := m.pieces[attKey{j.idx, a.Task, a.Try}]; !there {
+				continue // it has ended and was cleared by somebody with newer records; one that may still come is mayComeBack's
+			}
+			if age > time.Duration(share*float64(c.cfg.CancelIn))+time.Duration(c.order(m))*rescueRank {
+				due[m.name] = true
+			}
+		}
+	}
+	names := sortedKeys(due)
+	names = names[:min(len(names), 100)] // in one request
+	if len(names) == 0 {
+		return
+	}
+	c.note("info", "machines returned in an outage: cancelled tasks may be on them", "machines", names)
+	r.busy = true
+	op := CloudOp{ID: c.id(), Op: "return", Names: names}
+	c.clouds[op.ID] = func(in Clouded) {
+		r.busy = false
+		if in.Status == 200 {
+			for _, n := range names {
+				c.markGone(c.machine(n))
+			}
+		}
+	}
+	c.emit(op)
+}
--- a/internal/sim/gap_test.go
+++ b/internal/sim/gap_test.go
@@ -224,6 +224,14 @@
 		"beside production":       {before: refuseBlind(1), opt: func(o *Options) { o.Beside = true }},
 		"five, beside production": {nodes: 5, before: refuseBlind(2), opt: func(o *Options) { o.Beside = true }},
 		"times near each other":   {before: refuseBlind(1), opt: func(o *Options) { o.CancelIn, o.Lease = 26*time.Second, 20*time.Second }},
+		"machines hang": {before: func(w *World, blind []*node) { // until after the time in which cancelled tasks must be gone
+			w.state.refuse(blind[0].name, 14*time.Second)
+			for _, name := range []string{"wk-000001/0", "wk-000003/1"} {
+				for m := range w.Check.on[name] {
+					w.cloud.find(m).hang(65 * time.Second)
+				}
+			}
+		}, dies: true},
 		"cut from state and controllers": {before: func(w *World, blind []*node) { w.isolate(blind[0].name, 90*time.Second, true, true, false) },
 			dies: true},
 	} {
