A controller whose reads of changes get no answer lets its lease run out

Cause: after a restart a controller took the leadership by a write, and then its reads of changes hung for twenty seconds, while its writes and the renewals of its lease were answered. It did not know that it led, and as it held the leadership nobody else could.

Change: Core.blind: after 5 s without an answer to a read, the lease is neither renewed nor asked for anew, until a read is answered. Where the state service is down for all this changes nothing: a lease has its full time again afterwards, and a read is due each second.

--- a/core/core.go
+++ b/core/core.go
@@ -292,6 +292,7 @@
 	barrierOf time.Duration // when the barrier on its way was sent
 	watchOf   time.Duration // when the watch was
 	loadOf    time.Duration // when the first page of all keys was asked for
+	readLost  time.Duration // when the first of the reads of changes was sent that got no answer, since the last that did; 0: there is none
 	stateGood time.Duration // last answer of the state service
 	stateBad  time.Duration // last failure
 	anyGood   bool
@@ -758,7 +759,12 @@
 		}
 	}
 	switch in.Status {
+	case 0:
+		if !in.Hold && c.readLost == 0 {
+			c.readLost = c.barrierOf
+		}
 	case 200:
+		c.readLost = 0
 		c.apply(in.Changes)
 		if in.Hold {
 			c.view.Read(c.watchOf)
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -856,3 +856,38 @@
 		t.Errorf("%d refused late, %d still wait, of 30", late, c.accepting)
 	}
 }
+
+// A controller whose reads of changes get no answer, while its writes do, held its lease and its shards and did nothing with them: it lets them
+// go until a read is answered.
+func TestBlindControllerLetsItsLeaseRunOut(t *testing.T) {
+	c := serving(t)
+	extended := func(from, to time.Duration, status int) (n int) {
+		for now := from; now < to; now += 100 * time.Millisecond {
+			out := c.Advance(now)
+			for _, o := range outputs[LeaseOp](out) {
+				n++
+				c.Handle(now, Leased{Op: o.Op, Lease: o.Lease, Status: 200})
+			}
+			for _, o := range outputs[Commit](out) {
+				c.Handle(now, Committed{ID: o.ID, Status: 429})
+			}
+			for _, o := range outputs[Changes](out) {
+				if !o.Hold {
+					c.Handle(now, Changed{Status: status, Changes: wire.Changes{Ledger: c.seen}})
+				}
+			}
+			c.afterBarrier(func(bool) {})
+		}
+		return n
+	}
+	if n := extended(2*time.Second, 8*time.Second, 200); n == 0 {
+		t.Fatal("the lease was not kept")
+	}
+	extended(8*time.Second, 14*time.Second, 0)
+	if n := extended(14*time.Second, 30*time.Second, 0); n != 0 || c.leaseOK() {
+		t.Errorf("without an answer to a read, the lease was kept %d times", n)
+	}
+	if n := extended(30*time.Second, 33*time.Second, 200); n == 0 || !c.leaseOK() {
+		t.Errorf("after an answered read, the lease was kept %d times", n)
+	}
+}
--- a/core/own.go
+++ b/core/own.go
@@ -16,7 +16,7 @@
 
 // keepLease keeps this controller's lease, and gets a new one when it is lost.
 func (c *Core) keepLease() {
-	if c.unfit() { // it must not act: its lease runs out, and others take over
+	if c.unfit() || c.blind() { // it must not act: its lease runs out, and others take over
 		return
 	}
 	if c.leaseOp != "" || c.now < c.leaseSent+150*time.Millisecond {
@@ -34,6 +34,12 @@
 	c.emit(LeaseOp{Op: c.leaseOp, TTL: c.cfg.Lease, Lease: c.lease})
 }
 
+// blind reports whether reads of changes have stayed without an answer for a while. Such a controller may write and hold its lease, and know neither
+// what it holds nor what others do: one that had just begun to lead did nothing for twenty seconds, and nobody else could.
+func (c *Core) blind() bool { return c.readLost != 0 && c.now-c.readLost > blindAfter }
+
+const blindAfter = 5 * time.Second // two reads in a row without an answer, and some
+
 func (c *Core) leased(in Leased) {
 	if in.Op != c.leaseOp {
 		return
