Worlds for the further meetings: close looks, lost answers, mute machines and what goes with them

The stand-in world has thirteen troubles more, each of which can meet any other: answers of transactions that come late or never, copies of reports kept for the next leader, mute machines, jobs called off within a fifth of a second while machines hang, cancellations at the end of a last task, odd requests, close looks, machines up within two seconds, a zone cut off with its controller, all controllers away for longer than a lease, ten leaders in two minutes, zones that lose machines, shards that change hands; and teams that are all at their limit, jobs bound to zones, four one-task jobs a second, slow links. Close looks are users: they ask and repeat at all controllers within milliseconds of what they are told.

The checker knows "unfit" (accepted though it can't run or lacks a field) and "left_waiting" (90 s while a machine that fits has room and the team is under its limit, by the world's truth), each shown to fire, and counts starts after a confirmed cancellation.

36 rows are added to the meetings.

--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -24,6 +24,7 @@
 	next     map[string][]*truth // jobs that await a job
 	rights   map[string]right
 	Starts   int
+	AfterEnd int // starts after a confirmed cancellation: within the time of a cancellation these are counted, not a broken rule
 	mistaken map[string]*mistake
 	calmFrom time.Duration // all troubles are over since; 0: they never are
 	meets    bool          // until then troubles follow each other so closely that no job may have a chance to begin
@@ -46,6 +47,9 @@
 	began      time.Duration  // when a task of it started first
 	ready      time.Duration  // when all that it awaits was done
 	vain       time.Duration  // the first question about it that was not answered, since the last that was and all troubles are over
+	starts     int            // of its tasks
+	leftSince  time.Duration  // since when it waits while it could run, after all troubles; 0: it does not
+	leftStarts int            // its starts then
 	doomed     bool           // a job that it needs was called cancelled
 	doomedAt   time.Duration  // when its user was told so
 }
@@ -188,6 +192,9 @@
 	if j.began == 0 {
 		j.began = max(1, now)
 	}
+	if j.starts++; j.stage == wire.StageCancelled {
+		k.AfterEnd++
+	}
 	s := &j.spec
 	for _, id := range s.Awaits {
 		if o := k.jobs[id]; o == nil || len(o.done) < o.spec.Tasks {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -12,6 +12,7 @@
 	"dewlift/audit"
 	"dewlift/core"
 	"dewlift/core/ledger"
+	"dewlift/internal/agenda"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -125,6 +126,45 @@
 		"held orders, and machines that hang":          {[]string{"held orders", "hang"}, nil},
 		"held orders, and the state service down":      {[]string{"held orders", "refused, then all"}, nil},
 		"a controller stands still, and another leads": {[]string{"still", "leader ends"}, nil},
+
+		"close looks":                                        {[]string{"close looks", "leader ends"}, nil},
+		"close looks, and slow answers":                      {[]string{"close looks", "slow"}, nil},
+		"close looks, and reads that hang":                   {[]string{"close looks", "reads hang"}, nil},
+		"close looks, with an archive":                       {[]string{"close looks", "answers lost"}, func(o *Options) { o.History, o.Tasks = true, 2 }},
+		"close looks, with rights":                           {[]string{"close looks", "answers lost"}, func(o *Options) { o.Rights, o.Shared = true, false }},
+		"answers lost":                                       {[]string{"answers lost", "close looks"}, nil},
+		"answers lost, and the leader ends":                  {[]string{"answers lost", "leader ends"}, nil},
+		"answers lost of bookings":                           {[]string{"answers lost", "leader ends"}, func(o *Options) { o.Bookers, o.Jobs = 10, 20 }},
+		"at the limit, cancelled, machines hang":             {[]string{"cancelled at once", "leader ends"}, func(o *Options) { o.AtLimit = true }},
+		"at the limit, cancelled, machines deaf":             {[]string{"cancelled at once", "deaf", "leader ends"}, func(o *Options) { o.AtLimit = true }},
+		"at the limit, cancelled, a zone cut off":            {[]string{"cancelled at once", "zone cut off", "leader ends"}, func(o *Options) { o.AtLimit = true }},
+		"cancelled in a handover":                            {[]string{"handed over", "cancelled at once"}, nil},
+		"cancelled in a handover, answers lost":              {[]string{"handed over", "answers lost"}, nil},
+		"up at once, late writes":                            {[]string{"up at once", "late writes", "leader ends"}, nil},
+		"up at once, answers lost":                           {[]string{"up at once", "answers lost", "leader ends"}, nil},
+		"old reports as a new leader begins":                 {[]string{"reports for the next", "leader ends"}, nil},
+		"old reports as a new leader begins, all end":        {[]string{"reports for the next", "all end"}, nil},
+		"a report is held back, machines hang":               {[]string{"reports for the next", "hang", "leader ends"}, func(o *Options) { o.Apart = true }},
+		"one-task jobs four a second":                        {[]string{"leader ends", "slow"}, func(o *Options) { o.OneTask, o.Jobs, o.Fleet = 400, 10, 30 }},
+		"one-task jobs four a second, close looks":           {[]string{"close looks", "answers lost"}, func(o *Options) { o.OneTask, o.Jobs, o.Fleet = 400, 10, 30 }},
+		"mute machines":                                      {[]string{"mute", "cancelled at once"}, nil},
+		"mute machines, and the leader ends":                 {[]string{"mute", "leader ends"}, func(o *Options) { o.Apart = true }},
+		"all away for longer than a lease":                   {[]string{"all away", "cancelled at once"}, nil},
+		"all away, and close looks":                          {[]string{"all away", "close looks"}, nil},
+		"ten leaders in two minutes":                         {[]string{"ten leaders", "cancelled at once"}, nil},
+		"ten leaders in two minutes, late writes":            {[]string{"ten leaders", "late writes"}, nil},
+		"a zone is cut off with its controller":              {[]string{"zone cut off", "cancelled at once"}, nil},
+		"a zone is cut off, and the leader ends":             {[]string{"zone cut off", "leader ends"}, nil},
+		"cancelled as the leader is refused, then an outage": {[]string{"cancelled at once", "refused, then all"}, nil},
+		"cancelled at the end of the last task":              {[]string{"cancelled at the end", "close looks"}, func(o *Options) { o.Tasks = 2 }},
+		"cancelled at the end, answers lost":                 {[]string{"cancelled at the end", "answers lost"}, func(o *Options) { o.Tasks = 2 }},
+		"odd requests":                                       {[]string{"odd requests", "close looks"}, nil},
+		"odd requests, and the leader ends":                  {[]string{"odd requests", "leader ends"}, nil},
+		"more work than room over slow links": {[]string{"leader ends", "slow"}, func(o *Options) {
+			o.Fleet, o.Jobs, o.Tasks, o.SlowBy = 6, 40, 3, 300*time.Millisecond
+		}},
+		"jobs bound to a zone lose machines":             {[]string{"zone loses machines", "leader ends"}, func(o *Options) { o.InZones = true }},
+		"jobs bound to a zone lose machines, up at once": {[]string{"zone loses machines", "up at once"}, func(o *Options) { o.InZones = true }},
 	} {
 		for seed := uint64(1); seed <= max(1, *worlds/16); seed++ {
 			t.Run(fmt.Sprint(name, " seed", seed), func(t *testing.T) {
@@ -135,7 +175,7 @@
 					m.opt(&o)
 				}
 				w := play(t, o)
-				t.Logf("%d starts, %v", w.Check.Starts, w.Check.stages())
+				t.Logf("%d starts, %d after a confirmed cancellation, %v", w.Check.Starts, w.Check.AfterEnd, w.Check.stages())
 			})
 		}
 	}
@@ -214,6 +254,46 @@
 	}
 }
 
+// A job that is left waiting while a machine that fits has room and its team is under its limit shows, and one that has to wait does not.
+func TestCheckerOfJobsLeftWaitingFires(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(w *World, m *workerStandIn)
+		fires  bool
+	}{
+		"left waiting": {func(*World, *workerStandIn) {}, true},
+		"no room": {func(_ *World, m *workerStandIn) {
+			m.tasks["x"] = &workerTask{job: "wk-000002", stage: wire.TaskRunning}
+		}, false},
+		"other zone":   {func(w *World, _ *workerStandIn) { w.Check.jobs["wk-000001"].spec.Zone = "b" }, false},
+		"at its limit": {func(w *World, _ *workerStandIn) { w.Check.limit["t0"] = [2]int64{3000, 0} }, false},
+		"it hangs":     {func(w *World, m *workerStandIn) { m.hang(200 * time.Second) }, false},
+		"cancelled":    {func(w *World, _ *workerStandIn) { w.Check.Asked("wk-000001") }, false},
+		"it starts": {func(w *World, m *workerStandIn) {
+			w.after(50*time.Second, func() { w.Check.On(w.now, "wk-000001", 0, m.m) })
+			w.Check.jobs["wk-000001"].spec.Tasks = 2
+		}, false},
+	} {
+		w := New(Options{Seed: 1, Quiet: true})
+		w.queue = agenda.Agenda{} // no controller does anything
+		w.Check.calmFrom = 1
+		m := &workerStandIn{w: w, m: wire.Machine{Name: "m1", Type: "small", Zone: "a"}, up: true, token: 1, tasks: map[string]*workerTask{}}
+		w.cloud.machines = append(w.cloud.machines, m)
+		for _, id := range []string{"wk-000001", "wk-000002"} {
+			w.Check.Submitted(wire.Spec{ID: id, Team: "t0", Tasks: 1, Claim: [3]int64{4000, 0, 0}})
+		}
+		w.Check.Answered(0, 0, "submit", "wk-000001", 201, wire.StageQueued)
+		c.change(w, m)
+		w.after(time.Second, w.lookForLeft)
+		for at, do, ok := w.queue.Next(120 * time.Second); ok; at, do, ok = w.queue.Next(120 * time.Second) {
+			w.now = at
+			do()
+		}
+		if fired := len(w.Check.Broken) > 0 && strings.HasPrefix(w.Check.Broken[0], "left_waiting:"); fired != c.fires || len(w.Check.Broken) > 0 && !c.fires {
+			t.Errorf("%s: broken are %v", name, w.Check.Broken)
+		}
+	}
+}
+
 // Each rule by which the operators judge a day breaks on a step that is wrong.
 func TestCheckerOfDaysFires(t *testing.T) {
 	for rule, step := range map[string]func(k *Checker){
@@ -388,6 +468,7 @@
 			k.LetIn(3, "u", "poll", "wk-1")
 		},
 		"nothing_ran": func(k *Checker) { k.Finish(0) },
+		"unfit":       func(k *Checker) { k.Odd("wk-3", 422, 422); k.Odd("wk-3", 503, 422); k.Odd("wk-3", 400, 422) },
 		"too_early":   func(k *Checker) { k.Submitted(after); k.Completed("wk-1", 0); k.On(0, "wk-2", 0, m1) },
 		"orphaned": func(k *Checker) {
 			k.Submitted(after)
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -211,11 +211,12 @@
 		return
 	}
 	if !o.Hold {
-		w.rpc(n.name, "state", 2*time.Second, 0, func() {
+		w.rpc(n.name, "state", 2*time.Second, 0, func() time.Duration {
 			out.Status = 503
 			if !s.bad(n.name) {
 				out.Status, out.Changes = 200, s.since(o.From)
 			}
+			return 0
 		}, func(ok bool) {
 			if !ok {
 				out = core.Changed{}
@@ -439,7 +440,11 @@
 			c.byName[name] = m
 			out.Names = append(out.Names, name)
 			if c.w.opt.Quiet || !c.w.chance(0.05) {
-				c.w.after(c.w.between(2*time.Second, 12*time.Second), m.start)
+				boot := c.w.between(2*time.Second, 12*time.Second)
+				if c.w.now < c.w.fastBoots {
+					boot = c.w.between(0, 2*time.Second)
+				}
+				c.w.after(boot, m.start)
 			}
 			if m.m.Spot && !c.w.opt.Quiet {
 				c.w.after(c.w.between(10*time.Second, 300*time.Second), m.take)
@@ -642,7 +647,7 @@
 	}
 	m.w.after(4*time.Second, func() { finish(core.Reply{}, false) })
 	m.w.send(m.m.Name, n.name, func() {
-		if n.down {
+		if n.down || m.w.now < m.w.muted[m.m.Name] {
 			m.w.after(time.Millisecond, func() { finish(core.Reply{}, false) })
 			return
 		}
@@ -766,6 +771,9 @@
 				m.exit(t, wire.CauseError)
 				return
 			}
+			if len(j.done) == j.spec.Tasks-1 && !j.done[n] {
+				m.w.atEnd(id)
+			}
 			m.w.Check.Completed(id, n)
 			m.exit(t, wire.CauseDone)
 			m.beat()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -36,6 +36,10 @@
 	Meet     bool          // troubles come in pairs only; then it is calm, and what is forgotten shows
 	Pair     []string      // the only troubles that meet; nil: any two of all
 	Apart    bool          // tasks run for up to more than a minute: those of a small job end far apart
+	AtLimit  bool          // every team has a limit, which its work would exceed
+	OneTask  int           // jobs of one task each that come four a second, one after the other; a quarter is cancelled
+	InZones  bool          // every job is bound to one zone
+	SlowBy   time.Duration // every message takes up to so long; 0: 5 ms
 	Flap     bool          // what ends is back within a second, with late copies of what it did; then it is calm, and what is forgotten shows
 }
 
@@ -78,7 +82,12 @@
 	lateWrite  func(t wire.Txn) time.Duration
 	lateOrder  func(o core.Orders) time.Duration
 	lateReport func(r *wire.Report)
+	lateAnswer func(t wire.Txn) time.Duration   // a transaction is executed at once, and its answer so much later; under 0: it is lost
+	atEnd      func(id string)                  // the last task of a job is ending at this moment
 	deaf       map[string]time.Duration         // machines that nothing reaches until then
+	muted      map[string]time.Duration         // machines that reach no controller until then, while orders reach them
+	fastBoots  time.Duration                    // until then, machines are up within two seconds
+	closeLooks time.Duration                    // until then, users look closely, see looks.go
 	Seen       func(node string, o core.Output) // is shown every output of a controller
 }
 
@@ -97,10 +106,15 @@
 	opt.CancelIn, opt.Lease = cmp.Or(opt.CancelIn, cancelIn), cmp.Or(opt.Lease, workerLease)
 	w := &World{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 77)), cut: map[[2]string]bool{}, held: map[[2]string][]func(){},
 		lateWrite: func(wire.Txn) time.Duration { return 0 }, lateOrder: func(core.Orders) time.Duration { return 0 }, lateReport: func(*wire.Report) {},
-		deaf: map[string]time.Duration{}, Trace: func(string, ...any) {}, Seen: func(string, core.Output) {}}
+		lateAnswer: func(wire.Txn) time.Duration { return 0 }, atEnd: func(string) {}, deaf: map[string]time.Duration{}, muted: map[string]time.Duration{}, Trace: func(string, ...any) {}, Seen: func(string, core.Output) {}}
 	limit := 40000 * int64(opt.Tasks) / 9
 	w.teams = []core.Team{{Name: "t0"}, {Name: "t1", CPU: limit * 2 / 5, CPUMax: limit}}
-	w.Check = NewChecker(opt.CancelIn, map[string][2]int64{"t1": {limit, 0}})
+	limits := map[string][2]int64{"t1": {limit, 0}}
+	if opt.AtLimit {
+		w.teams[0].CPUMax = limit
+		limits["t0"] = [2]int64{limit, 0}
+	}
+	w.Check = NewChecker(opt.CancelIn, limits)
 	w.recorder = newRecorder(w.Check, func() time.Duration { return w.now })
 	w.state = newState(w)
 	w.cloud = newCloud(w)
@@ -135,6 +149,7 @@
 // Run plays the world to its end.
 func (w *World) Run() {
 	w.users()
+	w.after(time.Second, w.lookForLeft)
 	if w.opt.Rights {
 		w.changeRights()
 	}
@@ -242,13 +257,18 @@
 }
 
 func (w *World) crash(n *node) {
-	n.down = true
-	n.life++
-	n.core = nil
 	away := w.between(time.Second, 6*time.Second)
 	if w.opt.Flap || w.opt.Meet && w.chance(0.5) {
 		away = w.between(0, 900*time.Millisecond)
 	}
+	w.crashFor(n, away)
+}
+
+// crashFor ends a controller's process, which is back after a while.
+func (w *World) crashFor(n *node, away time.Duration) {
+	n.down = true
+	n.life++
+	n.core = nil
 	w.after(away, func() {
 		if n.down {
 			w.boot(n)
@@ -342,8 +362,10 @@
 				w.crashSoon(n, "a move")
 			}
 		}
-		w.rpc(n.name, "state", 2*time.Second, max(after, w.lateness(late)), func() {
+		answer := w.lateAnswer(o.Txn)
+		w.rpc(n.name, "state", 2*time.Second, max(after, w.lateness(late)), func() time.Duration {
 			out.Status, out.Reply = w.state.commit(n.name, o.Txn)
+			return answer
 		}, func(ok bool) {
 			if !ok {
 				out = core.Committed{ID: o.ID}
@@ -354,7 +376,7 @@
 		w.state.changes(n, o, back)
 	case core.Load:
 		var out core.Loaded
-		w.rpc(n.name, "state", 2*time.Second, 0, func() { out = w.state.load(n.name, o) }, func(ok bool) {
+		w.rpc(n.name, "state", 2*time.Second, 0, func() time.Duration { out = w.state.load(n.name, o); return 0 }, func(ok bool) {
 			if !ok {
 				out = core.Loaded{}
 			}
@@ -362,7 +384,7 @@
 		})
 	case core.Scan:
 		out := core.Scanned{ID: o.ID}
-		w.rpc(n.name, "state", 2*time.Second, 0, func() { out = w.state.scan(n.name, o) }, func(ok bool) {
+		w.rpc(n.name, "state", 2*time.Second, 0, func() time.Duration { out = w.state.scan(n.name, o); return 0 }, func(ok bool) {
 			if !ok {
 				out = core.Scanned{ID: o.ID}
 			}
@@ -370,7 +392,7 @@
 		})
 	case core.LeaseOp:
 		out := core.Leased{Op: o.Op}
-		w.rpc(n.name, "state", time.Second, w.lateness(0.005), func() { out = w.state.leaseOp(n.name, o) }, func(ok bool) {
+		w.rpc(n.name, "state", time.Second, w.lateness(0.005), func() time.Duration { out = w.state.leaseOp(n.name, o); return 0 }, func(ok bool) {
 			if !ok {
 				out = core.Leased{Op: o.Op}
 			}
@@ -379,10 +401,11 @@
 	case core.Orders:
 		out := core.Ordered{ID: o.ID, Sent: true}
 		m := w.cloud.find(o.Machine)
-		w.rpc(n.name, o.Machine, 2*time.Second, max(w.lateOrder(o), w.lateness(0.02)), func() {
+		w.rpc(n.name, o.Machine, 2*time.Second, max(w.lateOrder(o), w.lateness(0.02)), func() time.Duration {
 			if m != nil && !m.gone {
 				out.Status, out.Report = m.orders(o.Body)
 			}
+			return 0
 		}, func(ok bool) {
 			if !ok {
 				out = core.Ordered{ID: o.ID, Sent: true}
@@ -392,10 +415,11 @@
 	case core.Probe:
 		m := w.cloud.find(o.Machine)
 		out := core.Seen{Machine: o.Machine}
-		w.rpc(n.name, o.Machine, 2*time.Second, 0, func() {
+		w.rpc(n.name, o.Machine, 2*time.Second, 0, func() time.Duration {
 			if m != nil && m.up && !m.gone {
 				out.Report = m.report()
 			}
+			return 0
 		}, func(ok bool) {
 			if !ok {
 				out.Report = nil
@@ -404,7 +428,7 @@
 		})
 	case core.CloudOp:
 		out := core.Clouded{ID: o.ID}
-		w.rpc(n.name, "cloud", 4*time.Second, w.lateness(0.02), func() { out = w.cloud.do(o) }, func(ok bool) {
+		w.rpc(n.name, "cloud", 4*time.Second, w.lateness(0.02), func() time.Duration { out = w.cloud.do(o); return 0 }, func(ok bool) {
 			if !ok {
 				out = core.Clouded{ID: o.ID}
 			}
@@ -425,7 +449,7 @@
 
 func (w *World) send(from, to string, f func()) {
 	k := [2]string{from, to}
-	w.after(w.between(500*time.Microsecond, 5*time.Millisecond), func() {
+	w.after(w.between(500*time.Microsecond, cmp.Or(w.opt.SlowBy, 5*time.Millisecond)), func() {
 		if w.now < w.deaf[to] {
 			return
 		}
@@ -437,9 +461,9 @@
 	})
 }
 
-// rpc carries a request to a server and its outcome back; without an answer in time the
+// rpc carries a request to a server and its outcome back, so much later as exec says (under 0: never); without an answer in time the
 // caller gives up, and the request may be executed all the same, later.
-func (w *World) rpc(from, to string, timeout, late time.Duration, exec func(), done func(ok bool)) {
+func (w *World) rpc(from, to string, timeout, late time.Duration, exec func() (answer time.Duration), done func(ok bool)) {
 	over := false
 	finish := func(ok bool) {
 		if !over {
@@ -453,8 +477,13 @@
 	w.after(timeout, func() { finish(false) })
 	w.after(late, func() {
 		w.send(from, to, func() {
-			exec() // also when the caller gave up meanwhile
-			w.send(to, from, func() { finish(true) })
+			answer := func() { w.send(to, from, func() { finish(true) }) }
+			switch d := exec(); { // also when the caller gave up meanwhile
+			case d > 0:
+				w.after(d, answer)
+			case d == 0:
+				answer()
+			}
 		})
 	})
 }
@@ -624,15 +653,21 @@
 			done(r, ok)
 		}
 	}
+	way := func() time.Duration { // answers overtake each other on slow links
+		if w.now < w.closeLooks {
+			return w.between(100*time.Microsecond, 20*time.Millisecond)
+		}
+		return time.Millisecond
+	}
 	w.after(timeout, func() { finish(core.Reply{}, false) })
-	w.after(time.Millisecond, func() {
+	w.after(way(), func() {
 		if n.down {
 			finish(core.Reply{}, false)
 			return
 		}
 		w.req++
 		id := w.req
-		n.reqs[id] = func(r core.Reply) { w.after(time.Millisecond, func() { finish(r, true) }) }
+		n.reqs[id] = func(r core.Reply) { w.after(way(), func() { finish(r, true) }) }
 		w.step(n, in(id))
 	})
 }
@@ -641,6 +676,9 @@
 func (w *World) users() {
 	for i := 0; i < w.opt.Jobs; i++ {
 		s := w.someJob()
+		if w.opt.InZones {
+			s.Zone, s.Spread, s.OneZone = zones[w.rng.IntN(3)], false, w.chance(0.5)
+		}
 		if w.opt.Lanes {
 			s = w.laneJob()
 		}
@@ -656,6 +694,11 @@
 	for range w.opt.Chains {
 		w.after(w.between(w.chainsFrom(), w.opt.Length*2/3), w.chain)
 	}
+	for i := range w.opt.OneTask {
+		s := w.someJob()
+		s.Service, s.Tasks, s.OneZone, s.Spread = false, 1, false, false
+		w.after(10*time.Second+time.Duration(i)*250*time.Millisecond, func() { w.user(s) })
+	}
 	var stranger func()
 	stranger = func() { // asks about jobs that nobody submitted
 		id := fmt.Sprintf("wk-x%05d", w.rng.IntN(100000))
@@ -676,7 +719,11 @@
 	}
 	st, _ := r.Body.(wire.JobState)
 	w.Check.Heard(began, w.now, id, r.Status)
+	before := w.Check.toldOf(id)
 	w.Check.Answered(began, w.now, verb, id, r.Status, st.Stage)
+	if w.now < w.closeLooks && w.Check.toldOf(id) != before {
+		w.lookClosely(by, id)
+	}
 	return st.Stage
 }
 
@@ -695,6 +742,11 @@
 	var submit, poll, cancel func()
 	submit = func() {
 		began := w.now
+		for range 3 {
+			if w.now < w.closeLooks && w.chance(0.3) { // an impatient user
+				w.after(w.between(0, 300*time.Millisecond), func() { w.repeatAt(pick(), by, s) })
+			}
+		}
 		w.ask(pick(), 5*time.Second, func(r uint64) core.Input { return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: unix(), By: by} },
 			func(r core.Reply, ok bool) {
 				w.answered(by, began, "submit", s.ID, r, ok)
