A job needs its image and the image's size: a body without them lacks a field

Cause: of the fields of a submission the protocol lets three be null, and so be missing: machine types, zone and deadline. The image and its size were taken as optional too, and a body that lacks one of them was accepted.

Result: TestEachFieldIsNeeded sends each field missing, null, as an object and as a list; red without the change for the two.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -90,6 +94,38 @@
 	}
 }
 
+// Every field is needed but those that may be null. A job without an image was accepted.
+func TestEachFieldIsNeeded(t *testing.T) {
+	e := &echo{}
+	e.s = New(e, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	app := e.s.app()
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(good), &fields); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		odd := map[string]any{"missing": nil, "null": nil, "an object": map[string]any{}, "a list": []any{1}}
+		for what, value := range odd {
+			body := maps.Clone(fields)
+			if body[name] = value; what == "missing" {
+				delete(body, name)
+			}
+			want := 400
+			if value == nil && slices.Contains([]string{"kilns", "yard", "due_s"}, name) {
+				want = 201
+			}
+			raw, err := json.Marshal(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := app.Test(httptest.NewRequest("POST", "/v1/jobs", bytes.NewReader(raw)))
+			if err != nil || resp.StatusCode != want {
+				t.Errorf("%s %s: got %v, %v, want %d", name, what, resp, err, want)
+			}
+		}
+	}
+}
+
 func TestFullQueueRefusesAtOnce(t *testing.T) {
 	e := &echo{full: true}
 	e.s = New(e, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -186,18 +186,15 @@
 	for _, a := range []struct {
 		f string
 		p *float64
-	}{{"cpus", s.CPUs}, {"cards", s.GPUs}, {"ram_gb", s.MemoryGB}, {"firing_s", s.Estimate}, {"glaze_s", s.Checkpoint}, {"cool_s", s.Save}} {
+	}{{"cpus", s.CPUs}, {"cards", s.GPUs}, {"ram_gb", s.MemoryGB}, {"image_gb", s.ImageGB}, {"firing_s", s.Estimate}, {"glaze_s", s.Checkpoint}, {"cool_s", s.Save}} {
 		if !amount(a.p) {
 			return fail(a.f)
 		}
 	}
-	if s.ImageGB != nil && !amount(s.ImageGB) {
-		return fail("image_gb")
-	}
 	if s.Deadline != nil && !amount(s.Deadline) {
 		return fail("due_s")
 	}
-	if s.Image != nil && len(*s.Image) > 200 {
+	if s.Image == nil || len(*s.Image) > 200 {
 		return fail("mould")
 	}
 	if s.OneZone == nil || s.Spread == nil || s.Spot == nil {
@@ -224,10 +221,7 @@
 	sp := Spec{ID: *s.ID, Class: *s.Class, Team: *s.Team, Service: *s.Kind == "daemon", Priority: prio, Tasks: *s.Tasks,
 		Claim: [3]int64{up(*s.CPUs), up(*s.GPUs), up(*s.MemoryGB)}, Types: s.Types, OneZone: *s.OneZone, Spread: *s.Spread,
 		Spot: *s.Spot, EstimateMS: up(*s.Estimate), SaveMS: up(*s.Save), Saves: *s.Checkpoint > 0,
-		Awaits: slices.Compact(s.Awaits)}
-	if s.Image != nil {
-		sp.Image = *s.Image
-	}
+		Awaits: slices.Compact(s.Awaits), Image: *s.Image}
 	if s.Zone != nil {
 		sp.Zone = *s.Zone
 	}
