--- a/internal/sim/meet.go
+++ b/internal/sim/meet.go
@@ -407,6 +407,10 @@
 
 // MeetingOf are the options of the world of a seed in which troubles meet.
 func MeetingOf(seed uint64) Options {
-	return Options{Seed: seed, Length: 480 * time.Second, Jobs: 60, Tasks: 6, Meet: true, Nodes: []int{3, 5}[seed%2], Shared: seed%3 == 0, History: seed%4 == 0,
+	o := Options{Seed: seed, Length: 480 * time.Second, Jobs: 60, Tasks: 6, Meet: true, Nodes: []int{3, 5}[seed%2], Shared: seed%3 == 0, History: seed%4 == 0,
 		Chains: int(seed % 3)}
+	if seed%7 == 0 { // within an upgrade: nobody asks for anything new yet
+		o.Beside, o.Chains = true, 0
+	}
+	return o
 }
