Returns in an outage: the order of the controllers is in parts of a cancellation's time

With a time of a cancellation of 26 s and five controllers, of which four are away, the last in a machine's order came after that time, as each left 2 s to the one before. It is 0.04 of the time now.

--- a/core/orders.go
+++ b/core/orders.go
@@ -349,8 +349,8 @@
 
 const (
 	rescueEvery = time.Second
-	rescueRank  = 2 * time.Second // that each controller leaves to the one before it in a machine's order
-	rescueShare = 0.7             // of the time of a cancellation, after which also machines that report are returned
+	rescueShare = 0.7  // of the time of a cancellation, after which also machines that report are returned
+	rescueRank  = 0.04 // of it, that each controller leaves to the one before it in a machine's order
 )
 
 // returnInOutage returns machines on which cancelled tasks may still be, while the state service is down for all and so nobody leads: one that
@@ -380,7 +380,7 @@
 			} else if _, there := m.pieces[attKey{j.idx, a.Task, a.Try}]; !there {
 				continue // it has ended and was cleared by somebody with newer records; one that may still come is mayComeBack's
 			}
-			if age > time.Duration(share*float64(c.cfg.CancelIn))+time.Duration(c.order(m))*rescueRank {
+			if age > time.Duration((share+rescueRank*float64(c.order(m)))*float64(c.cfg.CancelIn)) {
 				due[m.name] = true
 			}
 		}
