A record ahead of the stream is read once, and then waited for

What waited for the stream with a barrier read the record again at each turn until that came, as often as the share of reads for ended jobs allowed. The find now waits for the barrier.

--- a/core/history.go
+++ b/core/history.go
@@ -394,6 +394,17 @@
 			switch {
 			case in.Status == 404:
 				x.keyRead, x.keyAt = true, in.Ledger
+			case in.Status == 200 && len(in.Items) == 1 && in.Items[0].Mark > c.seen:
+				// It is on its way with the stream of changes, and was never counted as cold: counted out here, it left one job too few, and another
+				// that had left memory was denied.
+				x.busy = true
+				c.afterBarrier(func(bool) {
+					x.busy = false
+					if !x.over {
+						c.settleFind(x)
+					}
+				})
+				return
 			case in.Status == 200 && len(in.Items) == 1 && c.readRecord(x.id, in.Items[0]):
 			case in.Status != 429:
 				c.found(x, false)
@@ -432,16 +443,11 @@
 		c.note("error", "value not understood", "key", it.Key, "err", err.Error())
 		return false
 	}
-	if it.Mark > c.seen {
-		// It is on its way with the stream of changes, and was never counted as cold: counted out here, it left one job too few, and another that
-		// had left memory was denied.
-		c.afterBarrier(func(bool) {})
-		return true
-	}
 	if r.Spec == nil && r.Stage != ledger.Queued {
 		c.Stats.Recalled++
 		c.remember(id, r, it.Mark, false)
 	}
+	// Any other is in memory.
 	return true
 }
 
