--- a/core/orders.go
+++ b/core/orders.go
@@ -314,30 +314,37 @@
 	}
 }
 
-// sweepCancels sees to it that cancelled tasks are gone in time: unanswered starts are fenced
-// off with a higher token, and a machine that does not confirm is returned.
-func (c *Core) sweepCancels() (suspects []string) {
+// unproven calls f for each task of a cancelled job that is not proven to be off its machine, with the time since its cancellation.
+func (c *Core) unproven(f func(j *job, a ledger.Asg, m *machine, age time.Duration)) {
 	for _, j := range c.open {
-		if j.rec == nil || j.rec.Stage != ledger.Cancelled || len(j.place) == 0 || !c.mine(j) {
+		if !j.lingers() {
 			continue
 		}
 		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
 		for _, a := range j.place {
-			m := c.machines[a.Machine]
 			// A reported end is proof, also while the write of it waits for the change budget:
 			// machines were returned for tasks that had long stopped.
-			if ended, _ := c.fate(j, a); ended {
-				continue
-			}
-			k := attKey{j.idx, a.Task, a.Try}
-			if t := m.att[k]; t != nil && t.lost != 0 && m.token <= t.lost && c.epoch <= t.lost {
-				c.bump()
-			}
-			if age > time.Duration(c.cfg.CancelShare*float64(c.cfg.CancelIn)) {
-				suspects = append(suspects, m.name)
+			if ended, _ := c.fate(j, a); !ended {
+				f(j, a, c.machines[a.Machine], age)
 			}
 		}
 	}
+}
+
+// sweepCancels sees to it that cancelled tasks are gone in time: unanswered starts are fenced
+// off with a higher token, and a machine that does not confirm is returned.
+func (c *Core) sweepCancels() (suspects []string) {
+	c.unproven(func(j *job, a ledger.Asg, m *machine, age time.Duration) {
+		if !c.mine(j) {
+			return
+		}
+		if t := m.att[attKey{j.idx, a.Task, a.Try}]; t != nil && t.lost != 0 && m.token <= t.lost && c.epoch <= t.lost {
+			c.bump()
+		}
+		if age > time.Duration(c.cfg.CancelShare*float64(c.cfg.CancelIn)) {
+			suspects = append(suspects, m.name)
+		}
+	})
 	return suspects
 }
 
@@ -364,27 +371,17 @@
 	}
 	r.at = c.now + rescueEvery
 	due := map[string]bool{}
-	for _, j := range c.open {
-		if !j.lingers() {
-			continue
+	c.unproven(func(j *job, a ledger.Asg, m *machine, age time.Duration) {
+		share := rescueShare
+		if c.now-max(m.heard, c.awake) > c.silent() {
+			share = c.cfg.CancelShare
+		} else if _, there := m.pieces[attKey{j.idx, a.Task, a.Try}]; !there {
+			return // it has ended and was cleared by somebody with newer records; one that may still come is mayComeBack's
 		}
-		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
-		for _, a := range j.place {
-			m := c.machines[a.Machine]
-			if ended, _ := c.fate(j, a); ended {
-				continue
-			}
-			share := rescueShare
-			if c.now-max(m.heard, c.awake) > c.silent() {
-				share = c.cfg.CancelShare
-			} else if _, there := m.pieces[attKey{j.idx, a.Task, a.Try}]; !there {
-				continue // it has ended and was cleared by somebody with newer records; one that may still come is mayComeBack's
-			}
-			if age > time.Duration((share+rescueRank*float64(c.order(m)))*float64(c.cfg.CancelIn)) {
-				due[m.name] = true
-			}
+		if age > time.Duration((share+rescueRank*float64(c.order(m)))*float64(c.cfg.CancelIn)) {
+			due[m.name] = true
 		}
-	}
+	})
 	names := sortedKeys(due)
 	names = names[:min(len(names), 100)] // in one request
 	if len(names) == 0 {
