--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -174,6 +174,7 @@
 				if m.opt != nil {
 					m.opt(&o)
 				}
+				o.Beside = o.Beside && !o.Rights // beside production, rights can't be in force, and nobody is served
 				w := play(t, o)
 				t.Logf("%d starts, %d after a confirmed cancellation, %v", w.Check.Starts, w.Check.AfterEnd, w.Check.stages())
 			})
