One search behind a question and a cancellation; the age of a cancellation stands once

A question and the cancellation of a job that is not in memory wrote the barrier and the search anew that lookAt and findFor are; the time since a cancellation was worked out in two places.

--- a/core/cancellations.go
+++ b/core/cancellations.go
@@ -46,6 +46,11 @@
 	return j.rec != nil && j.rec.Stage == ledger.Cancelled && len(j.place) > 0
 }
 
+// sinceCancelled is the time since somebody asked for a job's cancellation, by the time of day.
+func (c *Core) sinceCancelled(j *job) time.Duration {
+	return time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
+}
+
 // cancelledAt is a revision at which a cancelled job's cancellation was there: whoever has seen it knows of that.
 func (j *job) cancelledAt() uint64 { return max(j.mark, j.cancelMark) }
 
@@ -215,7 +220,7 @@
 	var late []taskKey // mostly none
 	for k, a := range m.asg {
 		j := c.jobs[k.job]
-		if !j.lingers() || a.Session != m.session || time.Duration(c.unixMS()-j.rec.CancelMS)*time.Millisecond <= c.bound() {
+		if !j.lingers() || a.Session != m.session || c.sinceCancelled(j) <= c.bound() {
 			continue
 		}
 		if _, there := m.pieces[attKey{k.job, k.task, a.Try}]; there {
--- a/core/orders.go
+++ b/core/orders.go
@@ -320,7 +320,7 @@
 		if !j.lingers() {
 			continue
 		}
-		age := time.Duration(c.unixMS()-j.rec.CancelMS) * time.Millisecond
+		age := c.sinceCancelled(j)
 		for _, a := range j.place {
 			// A reported end is proof, also while the write of it waits for the change budget:
 			// machines were returned for tasks that had long stopped.
--- a/core/users.go
+++ b/core/users.go
@@ -115,21 +115,17 @@
 		return
 	}
 	c.afterBarrier(func(ok bool) {
-		j := c.knownJob(id)
-		switch {
-		case !ok && (j == nil || !j.final()):
+		if j := c.knownJob(id); !ok && (j == nil || !j.final()) {
 			c.refuse(req, "state service not reached")
-		case j == nil:
-			c.findFor(req, id, func(j *job) {
-				if j == nil {
-					c.reply(req, 404, wire.Error{Error: "no such job"})
-					return
-				}
-				c.reply(req, 200, c.state(j))
-			})
-		default:
-			c.reply(req, 200, c.state(j))
+			return
 		}
+		c.findFor(req, id, func(j *job) {
+			if j == nil {
+				c.reply(req, 404, wire.Error{Error: "no such job"})
+				return
+			}
+			c.reply(req, 200, c.state(j))
+		})
 	})
 }
 
@@ -369,18 +365,12 @@
 		return
 	}
 	if j == nil {
-		c.afterBarrier(func(ok bool) {
-			if !ok {
-				c.refuse(in.Req, "state service not reached")
+		c.lookAt(in.Req, in.ID, func(j *job) {
+			if j == nil {
+				c.reply(in.Req, 404, wire.Error{Error: "no such job"})
 				return
 			}
-			c.findFor(in.Req, in.ID, func(j *job) {
-				if j == nil {
-					c.reply(in.Req, 404, wire.Error{Error: "no such job"})
-					return
-				}
-				c.queueCancel(j, in)
-			})
+			c.queueCancel(j, in)
 		})
 		return
 	}
