The stand-in world: one piece each for submissions, questions, cuts, copies of reports and a machine's room

What the worlds of the further meetings wrote again: a submission and a question with the check of its answer, cutting the network for a while, a copy of a report, the time of day, what is free of a machine. How long a job is left waiting is set back where a task of it starts: the count of its starts, kept beside, is gone, and the wait now counts from the second after a start, not from the one after that. Nobody is looked for before all is calm.

Rules, bounds and expectations are as they were.

--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -47,9 +47,7 @@
 	began      time.Duration  // when a task of it started first
 	ready      time.Duration  // when all that it awaits was done
 	vain       time.Duration  // the first question about it that was not answered, since the last that was and all troubles are over
-	starts     int            // of its tasks
-	leftSince  time.Duration  // since when it waits while it could run, after all troubles; 0: it does not
-	leftStarts int            // its starts then
+	leftSince  time.Duration  // since when it waits while it could run and nothing of it starts, after all troubles; 0: it does not
 	doomed     bool           // a job that it needs was called cancelled
 	doomedAt   time.Duration  // when its user was told so
 }
@@ -192,7 +190,8 @@
 	if j.began == 0 {
 		j.began = max(1, now)
 	}
-	if j.starts++; j.stage == wire.StageCancelled {
+	j.leftSince = 0
+	if j.stage == wire.StageCancelled {
 		k.AfterEnd++
 	}
 	s := &j.spec
--- a/internal/sim/gap_test.go
+++ b/internal/sim/gap_test.go
@@ -64,14 +64,14 @@
 func (w *World) submitAt(pick func() *node, s wire.Spec) {
 	w.Check.Submitted(s)
 	w.until(pick, func(r uint64) core.Input {
-		return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: startMS + w.now.Milliseconds()}
+		return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: w.unixNow()}
 	}, "submit", s.ID, func(r core.Reply) bool { return r.Status == 200 || r.Status == 201 }, func(*node) {})
 }
 
 func (w *World) cancelAt(pick func() *node, id string, told func(*node)) {
 	w.Check.Asked(id)
 	w.until(pick, func(r uint64) core.Input {
-		return core.Cancel{Req: r, ID: id, UnixMS: startMS + w.now.Milliseconds()}
+		return core.Cancel{Req: r, ID: id, UnixMS: w.unixNow()}
 	}, "cancel", id, stageIs(wire.StageCancelled), told)
 }
 
@@ -201,7 +201,7 @@
 		"told by a question": {before: refuseBlind(1), cancel: func(w *World, id string, blind []*node) {
 			pick := w.others(blind[:1])
 			w.Check.Asked(id)
-			w.ask(pick(), time.Second, func(r uint64) core.Input { return core.Cancel{Req: r, ID: id, UnixMS: startMS + w.now.Milliseconds()} }, func(core.Reply, bool) {})
+			w.ask(pick(), time.Second, func(r uint64) core.Input { return core.Cancel{Req: r, ID: id, UnixMS: w.unixNow()} }, func(core.Reply, bool) {})
 			w.after(300*time.Millisecond, func() { w.pollAt(pick, id, func(*node) {}) })
 		}},
 		"the teller ends": {before: refuseBlind(1), told: func(w *World, n *node) {
--- a/internal/sim/looks.go
+++ b/internal/sim/looks.go
@@ -28,8 +28,6 @@
 	return known{}
 }
 
-func (w *World) unixNow() int64 { return startMS + w.now.Milliseconds() }
-
 func (w *World) lookClosely(by core.Cred, id string) {
 	s := w.Check.jobs[id].spec
 	for round := range looksAtOnce {
@@ -38,9 +36,7 @@
 				if w.chance(0.5) {
 					w.repeatAt(n, by, s)
 				}
-				began := w.now
-				w.ask(n, 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: id, By: by} },
-					func(r core.Reply, ok bool) { w.answered(by, began, "poll", id, r, ok) })
+				w.pollOnce(n, by, id, func() {})
 			})
 		}
 	}
@@ -51,9 +47,7 @@
 
 // repeatAt submits a job, known or not, at a controller, once.
 func (w *World) repeatAt(n *node, by core.Cred, s wire.Spec) {
-	began := w.now
-	w.ask(n, 5*time.Second, func(r uint64) core.Input { return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: w.unixNow(), By: by} },
-		func(r core.Reply, ok bool) { w.answered(by, began, "submit", s.ID, r, ok) })
+	w.submitOnce(n, core.Submit{ID: s.ID, Spec: s, By: by}, func(core.Reply, bool) {})
 }
 
 // callOff has a user cancel a job until that is answered.
@@ -116,20 +110,14 @@
 			}
 		case 2:
 			s := w.unfitJob()
-			began := w.now
-			w.ask(n, 5*time.Second, func(r uint64) core.Input { return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: w.unixNow(), By: by} },
-				func(r core.Reply, ok bool) {
-					w.answered(by, began, "submit", s.ID, r, ok)
-					if ok {
-						w.Check.Odd(fmt.Sprintf("%+v", s), r.Status, 422)
-					}
-				})
+			w.submitOnce(n, core.Submit{ID: s.ID, Spec: s, By: by}, func(r core.Reply, ok bool) {
+				if ok {
+					w.Check.Odd(fmt.Sprintf("%+v", s), r.Status, 422)
+				}
+			})
 		case 3:
-			id, began := fmt.Sprintf("wk-y%05d", w.rng.IntN(100000)), w.now
-			w.ask(n, 5*time.Second, func(r uint64) core.Input {
-				return core.Submit{Req: r, ID: id, Bad: "pieces is missing", UnixMS: w.unixNow(), By: by}
-			}, func(r core.Reply, ok bool) {
-				w.answered(by, began, "submit", id, r, ok)
+			id := fmt.Sprintf("wk-y%05d", w.rng.IntN(100000))
+			w.submitOnce(n, core.Submit{ID: id, Bad: "pieces is missing", By: by}, func(r core.Reply, ok bool) {
 				if ok {
 					w.Check.Odd("a job that lacks a field", r.Status, 400)
 				}
@@ -173,9 +161,6 @@
 func (w *World) lookForLeft() {
 	w.after(time.Second, w.lookForLeft)
 	k := w.Check
-	if k.calmFrom == 0 || w.now < k.calmFrom {
-		return
-	}
 	var free []*workerStandIn
 	var rooms []int64
 	for _, m := range w.cloud.machines {
@@ -194,8 +179,8 @@
 			fits = fits || rooms[i] >= j.spec.Claim[0] && k.mayGo(j, m.m)
 		}
 		switch {
-		case !fits || k.startedSince(j):
-			j.leftSince, j.leftStarts = 0, j.starts
+		case !fits:
+			j.leftSince = 0
 		case j.leftSince == 0:
 			j.leftSince = w.now
 		case w.now-j.leftSince >= leftAfter:
@@ -224,9 +209,6 @@
 	return 0
 }
 
-// startedSince reports whether a task of a job has started since it was looked at.
-func (k *Checker) startedSince(j *truth) bool { return j.starts != j.leftStarts }
-
 func (k *Checker) atLimit(s *wire.Spec) bool {
 	lim, use := k.limit[s.Team], k.use[s.Team]
 	for i := range use {
--- a/internal/sim/meet.go
+++ b/internal/sim/meet.go
@@ -117,14 +117,17 @@
 		}
 		raw := *r
 		w.after(w.between(2*time.Second, 2*w.opt.Lease), func() {
-			if n := w.nodes[w.rng.IntN(len(w.nodes))]; !n.down {
-				w.req++
-				w.step(n, core.Beat{Req: w.req, Report: &raw}) // nobody waits for the answer
-			}
+			w.copyTo(w.nodes[w.rng.IntN(len(w.nodes))], &raw)
 		})
 	}
 }
 
+// copyTo has a copy of a report arrive at a controller; nobody waits for the answer.
+func (w *World) copyTo(n *node, r *wire.Report) {
+	w.req++
+	w.step(n, core.Beat{Req: w.req, Report: r})
+}
+
 // deafMachines has reports of some machines arrive while answers and orders to them are lost.
 func (w *World) deafMachines() {
 	d := w.between(5*time.Second, 2*w.opt.Lease)
@@ -246,12 +249,7 @@
 		till = w.now
 		for _, r := range kept {
 			for _, n := range w.nodes {
-				w.after(w.between(0, time.Second), func() {
-					if !n.down {
-						w.req++
-						w.step(n, core.Beat{Req: w.req, Report: &r}) // nobody waits for the answer
-					}
-				})
+				w.after(w.between(0, time.Second), func() { w.copyTo(n, &r) })
 			}
 		}
 	}
@@ -342,14 +340,7 @@
 			}
 		}
 	}
-	for _, p := range pairs {
-		w.setCut(p[0], p[1], true)
-	}
-	w.after(d, func() {
-		for _, p := range pairs {
-			w.setCut(p[0], p[1], false)
-		}
-	})
+	w.cutFor(pairs, d)
 }
 
 // allAway has all controllers away for longer than a lease, and one of them be back alone.
--- a/internal/sim/stand.go
+++ b/internal/sim/stand.go
@@ -712,22 +712,13 @@
 		m.exit(t, wire.CauseUnknown)
 		return
 	}
-	var use int64
 	for _, x := range m.tasks {
-		if x.stage == wire.TaskExited {
-			continue
-		}
-		if x != t && x.job == id && x.task == n {
+		if x != t && x.stage != wire.TaskExited && x.job == id && x.task == n {
 			m.exit(t, wire.CauseBusy)
 			return
 		}
-		use += m.w.Check.jobs[x.job].spec.Claim[0]
-	}
-	room := int64(4000)
-	if m.m.Type == "big" {
-		room = 16000
 	}
-	if use > room {
+	if m.room() < 0 {
 		m.exit(t, wire.CauseFull)
 		return
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -149,7 +149,6 @@
 // Run plays the world to its end.
 func (w *World) Run() {
 	w.users()
-	w.after(time.Second, w.lookForLeft)
 	if w.opt.Rights {
 		w.changeRights()
 	}
@@ -169,6 +168,9 @@
 	case !w.opt.Quiet:
 		w.troubles()
 	}
+	if w.Check.calmFrom != 0 {
+		w.after(w.Check.calmFrom, w.lookForLeft)
+	}
 	for {
 		at, do, ok := w.queue.Next(w.opt.Length)
 		if !ok {
@@ -250,7 +252,7 @@
 		if n.life != life || n.down {
 			return
 		}
-		w.step(n, core.Clock{UnixMS: startMS + w.now.Milliseconds() + int64(n.slip/time.Second)})
+		w.step(n, core.Clock{UnixMS: w.unixNow() + int64(n.slip/time.Second)})
 		w.after(50*time.Millisecond, tick)
 	}
 	w.after(time.Millisecond, tick)
@@ -606,6 +608,11 @@
 			pairs = append(pairs, [2]string{w.nodes[i].name, m.m.Name})
 		}
 	}
+	w.cutFor(pairs, d)
+}
+
+// cutFor cuts the network between pairs of places for a while.
+func (w *World) cutFor(pairs [][2]string, d time.Duration) {
 	for _, p := range pairs {
 		w.setCut(p[0], p[1], true)
 	}
@@ -617,31 +624,25 @@
 }
 
 func (w *World) isolate(name string, d time.Duration, state, peers, workers bool) {
-	var others []string
+	var pairs [][2]string
+	from := func(other string) { pairs = append(pairs, [2]string{name, other}) }
 	if state {
-		others = append(others, "state")
+		from("state")
 	}
 	if peers {
 		for _, p := range w.nodes {
 			if p.name != name {
-				others = append(others, p.name)
+				from(p.name)
 			}
 		}
 	}
 	if workers {
-		others = append(others, "cloud")
+		from("cloud")
 		for _, m := range w.cloud.machines {
-			others = append(others, m.m.Name)
+			from(m.m.Name)
 		}
 	}
-	for _, o := range others {
-		w.setCut(name, o, true)
-	}
-	w.after(d, func() {
-		for _, o := range others {
-			w.setCut(name, o, false)
-		}
-	})
+	w.cutFor(pairs, d)
 }
 
 // ask sends a request of a user or worker to a controller.
@@ -702,9 +703,7 @@
 	var stranger func()
 	stranger = func() { // asks about jobs that nobody submitted
 		id := fmt.Sprintf("wk-x%05d", w.rng.IntN(100000))
-		began := w.now
-		w.ask(w.nodes[w.rng.IntN(len(w.nodes))], 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: id, By: cred(root)} },
-			func(r core.Reply, ok bool) { w.answered(cred(root), began, "poll", id, r, ok) })
+		w.pollOnce(w.nodes[w.rng.IntN(len(w.nodes))], cred(root), id, func() {})
 		w.after(5*time.Second, stranger)
 	}
 	w.after(time.Second, stranger)
@@ -727,6 +726,29 @@
 	return st.Stage
 }
 
+func (w *World) unixNow() int64 { return startMS + w.now.Milliseconds() }
+
+// submitOnce sends a submission to a controller.
+func (w *World) submitOnce(n *node, in core.Submit, then func(r core.Reply, ok bool)) {
+	began := w.now
+	w.ask(n, 5*time.Second, func(r uint64) core.Input {
+		in.Req, in.UnixMS = r, w.unixNow()
+		return in
+	}, func(r core.Reply, ok bool) {
+		w.answered(in.By, began, "submit", in.ID, r, ok)
+		then(r, ok)
+	})
+}
+
+// pollOnce asks a controller about a job.
+func (w *World) pollOnce(n *node, by core.Cred, id string, then func()) {
+	began := w.now
+	w.ask(n, 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: id, By: by} }, func(r core.Reply, ok bool) {
+		w.answered(by, began, "poll", id, r, ok)
+		then()
+	})
+}
+
 func (w *World) user(s wire.Spec) { w.userThen(s, func() {}) }
 
 // userThen is a user who submits a job and goes on with something else once it is accepted.
@@ -737,19 +759,16 @@
 	w.Check.Submitted(s)
 	by := w.someone()
 	pick := func() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
-	unix := func() int64 { return startMS + w.now.Milliseconds() }
 	over := false
 	var submit, poll, cancel func()
 	submit = func() {
-		began := w.now
 		for range 3 {
 			if w.now < w.closeLooks && w.chance(0.3) { // an impatient user
 				w.after(w.between(0, 300*time.Millisecond), func() { w.repeatAt(pick(), by, s) })
 			}
 		}
-		w.ask(pick(), 5*time.Second, func(r uint64) core.Input { return core.Submit{Req: r, ID: s.ID, Spec: s, UnixMS: unix(), By: by} },
+		w.submitOnce(pick(), core.Submit{ID: s.ID, Spec: s, By: by},
 			func(r core.Reply, ok bool) {
-				w.answered(by, began, "submit", s.ID, r, ok)
 				if !ok || r.Status != 200 && r.Status != 201 {
 					w.after(time.Second, submit)
 					return
@@ -763,19 +782,13 @@
 				}
 				if w.chance(0.3) { // a late repeat, with another body
 					w.after(w.between(time.Second, 50*time.Second), func() {
-						began := w.now
-						w.ask(pick(), 5*time.Second, func(r uint64) core.Input {
-							return core.Submit{Req: r, ID: s.ID, Bad: "nonsense", UnixMS: unix(), By: by}
-						},
-							func(r core.Reply, ok bool) { w.answered(by, began, "submit", s.ID, r, ok) })
+						w.submitOnce(pick(), core.Submit{ID: s.ID, Bad: "nonsense", By: by}, func(core.Reply, bool) {})
 					})
 				}
 			})
 	}
 	poll = func() {
-		began := w.now
-		w.ask(pick(), 2*time.Second, func(r uint64) core.Input { return core.Poll{Req: r, ID: s.ID, By: by} }, func(r core.Reply, ok bool) {
-			w.answered(by, began, "poll", s.ID, r, ok)
+		w.pollOnce(pick(), by, s.ID, func() {
 			if !over || w.chance(0.5) {
 				w.after(5*time.Second, poll)
 			}
@@ -784,7 +797,7 @@
 	cancel = func() {
 		w.Check.Asked(s.ID)
 		began := w.now
-		w.ask(pick(), 5*time.Second, func(r uint64) core.Input { return core.Cancel{Req: r, ID: s.ID, UnixMS: unix(), By: by} },
+		w.ask(pick(), 5*time.Second, func(r uint64) core.Input { return core.Cancel{Req: r, ID: s.ID, UnixMS: w.unixNow(), By: by} },
 			func(r core.Reply, ok bool) {
 				w.answered(by, began, "cancel", s.ID, r, ok)
 				if !ok || r.Status != 200 {
