--- a/core/schemaversion_test.go
+++ b/core/schemaversion_test.go
@@ -262,9 +262,15 @@
 // answerTxns answers the core's requests as the store does, and shows it each write by the watch.
 // Transactions that accepts declines are refused as too large.
 func answerTxns(c *Core, from, to time.Duration, accepts func(wire.Txn) bool) {
+	answerAndObserve(c, from, to, accepts, func(Output) {})
+}
+
+// answerAndObserve is answerTxns that also shows every output to observe.
+func answerAndObserve(c *Core, from, to time.Duration, accepts func(wire.Txn) bool, observe func(Output)) {
 	revision := max(uint64(1000), c.replica.revision)
 	for now := from; now < to; now += 50 * time.Millisecond {
 		for _, output := range c.Advance(now) {
+			observe(output)
 			switch output := output.(type) {
 			case CommitTxn:
 				if !accepts(output.Txn) {
