A denied list of equipment is not written: the zero value of an outcome grants nothing

Symptom: a list of equipment of a caller without permission got 403 and was stored all the same. Cause: the zero value of booking.Outcome meant done, a denial left it there, and one of two conditions in decideRequests did not ask whether the request was denied. Now undecided is the zero value, a denial is an outcome, and IsGranted is asked in one place. Outcomes are neither stored nor sent; TestDecisions had their numbers in its texts and has their names now, as strict as before. Reservations are decided only while requests may be served. Also: a change of priority classes is recorded in the audit log; it was not. TestRevocationBetweenDecisionAndCommit gave its two events in two watches of one revision, of which the second is ignored; it gives them in one.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -185,9 +185,9 @@
 
 // describe returns the outcome, state, reason and free hours of a result.
 func describe(inventory *Inventory, result Result) string {
-	text := fmt.Sprintf("%d none", result.Outcome)
+	text := fmt.Sprintf("%s none", result.Outcome)
 	if result.Booking != nil {
-		text = fmt.Sprintf("%d %s", result.Outcome, result.Booking.State)
+		text = fmt.Sprintf("%s %s", result.Outcome, result.Booking.State)
 	}
 	if result.Reason != "" {
 		text += " " + result.Reason
@@ -214,43 +214,49 @@
 		request Request
 		want    string
 	}{
-		{Request{ID: "a", Wants: want("k1", "2027-03-04T08:00", 4)}, "0 confirmed"},
-		{Request{ID: "a", Wants: want("k1", "2027-03-04T08:00", 4)}, "1 confirmed"},
-		{Request{ID: "a", Wants: want("k1", "2027-03-04T09:00", 4)}, "2 confirmed a is the id of another booking"},
+		{Request{ID: "a", Wants: want("k1", "2027-03-04T08:00", 4)}, "done confirmed"},
+		{Request{ID: "a", Wants: want("k1", "2027-03-04T08:00", 4)}, "repeated confirmed"},
+		{
+			Request{ID: "a", Wants: want("k1", "2027-03-04T09:00", 4)},
+			"refused confirmed a is the id of another booking",
+		},
 		{
 			Request{ID: "b", Wants: want("k1", "2027-03-04T13:00", 1)},
-			"2 none k1 is taken at 2027-03-04T13:00:00+01:00, until 2027-03-04T13:30:00+01:00 [14 15 16]",
+			"refused none k1 is taken at 2027-03-04T13:00:00+01:00, until 2027-03-04T13:30:00+01:00 [14 15 16]",
 		}, // within the cooldown
-		{Request{ID: "b", Wants: want("k1", "2027-03-04T14:00", 1), HoldSeconds: 600}, "0 held"},
-		{Request{ID: "c", Team: "x", Wants: want("r", "2027-03-04T14:00", 1)}, "3 none team x may not book r"},
-		{Request{ID: "c", Wants: want("k9", "2027-03-04T14:00", 1)}, "3 none there is no k9"},
-		{Request{ID: "c", Wants: want("k1", "2027-02-04T14:00", 1)}, "3 none 2027-02-04T14:00:00+01:00 is past"},
-		{Request{ID: "w", Wants: want("k1", "2027-03-04T14:00", 1), JoinWaitlist: true}, "0 waiting"},
+		{Request{ID: "b", Wants: want("k1", "2027-03-04T14:00", 1), HoldSeconds: 600}, "done held"},
+		{Request{ID: "c", Team: "x", Wants: want("r", "2027-03-04T14:00", 1)}, "invalid none team x may not book r"},
+		{Request{ID: "c", Wants: want("k9", "2027-03-04T14:00", 1)}, "invalid none there is no k9"},
+		{Request{ID: "c", Wants: want("k1", "2027-02-04T14:00", 1)}, "invalid none 2027-02-04T14:00:00+01:00 is past"},
+		{Request{ID: "w", Wants: want("k1", "2027-03-04T14:00", 1), JoinWaitlist: true}, "done waiting"},
 		{
 			Request{Verb: VerbMove, ID: "a", Wants: want("k1", "2027-03-04T09:00", 4)},
-			"2 confirmed k1 is taken at 2027-03-04T09:00:00+01:00, until 2027-03-04T16:30:00+01:00 [17 18 19]",
+			"refused confirmed k1 is taken at 2027-03-04T09:00:00+01:00, until 2027-03-04T16:30:00+01:00 [17 18 19]",
+		},
+		{Request{Verb: VerbConfirm, ID: "w"}, "refused waiting w waits for its slots"},
+		{Request{Verb: VerbMove, ID: "b", Wants: want("k1", "2027-03-05T14:00", 1)}, "done held"},
+		{Request{Verb: VerbConfirm, ID: "w"}, "repeated confirmed"}, // it was assigned what b released
+		{Request{Verb: VerbConfirm, ID: "b"}, "done confirmed"},
+		{Request{Verb: VerbEnd, ID: "b", Reason: "cracked"}, "done ended"},
+		{Request{Verb: VerbEnd, ID: "b", Reason: "again"}, "repeated ended"},
+		{
+			Request{Verb: VerbMove, ID: "b", Wants: want("k1", "2027-03-05T14:00", 1)},
+			"refused ended b has ended: cracked",
 		},
-		{Request{Verb: VerbConfirm, ID: "w"}, "2 waiting w waits for its slots"},
-		{Request{Verb: VerbMove, ID: "b", Wants: want("k1", "2027-03-05T14:00", 1)}, "0 held"},
-		{Request{Verb: VerbConfirm, ID: "w"}, "1 confirmed"}, // it was assigned what b released
-		{Request{Verb: VerbConfirm, ID: "b"}, "0 confirmed"},
-		{Request{Verb: VerbEnd, ID: "b", Reason: "cracked"}, "0 ended"},
-		{Request{Verb: VerbEnd, ID: "b", Reason: "again"}, "1 ended"},
-		{Request{Verb: VerbMove, ID: "b", Wants: want("k1", "2027-03-05T14:00", 1)}, "2 ended b has ended: cracked"},
-		{Request{Verb: VerbEnd, ID: "z"}, "4 none there is no booking z"},
+		{Request{Verb: VerbEnd, ID: "z"}, "not found none there is no booking z"},
 		{
 			Request{
 				ID:    "all",
 				Wants: append(want("k1", "2027-03-08T14:00", 1), want("k1", "2027-03-04T09:00", 1)...),
 			},
-			"2 none k1 is taken at 2027-03-04T09:00:00+01:00, until 2027-03-04T13:30:00+01:00 [17 18 19]",
+			"refused none k1 is taken at 2027-03-04T09:00:00+01:00, until 2027-03-04T13:30:00+01:00 [17 18 19]",
 		},
 		{
 			Request{
 				ID:    "two",
 				Wants: append(want("k1", "2027-03-09T14:00", 1), want("k1", "2027-03-09T15:00", 1)...),
 			},
-			"2 none",
+			"refused none",
 		}, // the cooldown of its own first slot is in the way
 	}
 	for i, step := range steps {
--- a/booking/decide.go
+++ b/booking/decide.go
@@ -57,18 +57,31 @@
 	VerbSetInventory
 )
 
-// Outcome is the kind of a result.
+// Outcome is the kind of a result. It is neither stored nor sent, so its numbers may change.
 type Outcome int
 
-// Outcomes.
+// Outcomes. The zero value is no success: a result that nobody has filled in grants nothing.
 const (
-	OutcomeDone     Outcome = iota
-	OutcomeRepeated         // an identical request was done before
-	OutcomeRefused          // not possible now: Reason says why
-	OutcomeInvalid          // never possible
-	OutcomeNotFound         // there is no such reservation
+	OutcomeUndecided Outcome = iota
+	OutcomeDone              // the only one that changes something
+	OutcomeRepeated          // an identical request was done before
+	OutcomeRefused           // not possible now: Reason says why
+	OutcomeInvalid           // never possible
+	OutcomeNotFound          // there is no such reservation
+	OutcomeForbidden         // the caller lacks the permission
 )
 
+// outcomeNames are the names of outcomes in logs and tests.
+var outcomeNames = [...]string{"undecided", "done", "repeated", "refused", "invalid", "not found", "forbidden"}
+
+// String returns the name of an outcome.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome %d", int(o))
+	}
+	return outcomeNames[o]
+}
+
 // Result is the result of a request.
 type Result struct {
 	Outcome      Outcome
@@ -78,6 +91,9 @@
 	Displaced    []*pb.Booking
 }
 
+// IsGranted reports whether the request was granted: only then may its changes be written and recorded.
+func (r *Result) IsGranted() bool { return r.Outcome == OutcomeDone }
+
 // FreeSlot is a time at which an item can be reserved.
 type FreeSlot struct {
 	Piece    string
@@ -100,7 +116,7 @@
 		}
 		result = inv.changeBooking(draft, now, reservation, request)
 	}
-	if result.Outcome == OutcomeDone && request.Verb != VerbCreate && request.Verb != VerbConfirm {
+	if result.IsGranted() && request.Verb != VerbCreate && request.Verb != VerbConfirm {
 		current := inv
 		if request.Verb == VerbSetInventory {
 			current = request.Replacement
@@ -249,7 +265,7 @@
 		return result
 	}
 	draft.put(created)
-	return Result{Booking: created}
+	return Result{Outcome: OutcomeDone, Booking: created}
 }
 
 // alternatives returns the next free times for a want of a reservation that can't be met.
@@ -306,7 +322,7 @@
 		next := nextVersion(reservation)
 		next.State, next.HeldUntil = pb.BookingState_confirmed, 0
 		draft.put(next)
-		return Result{Booking: next}
+		return Result{Outcome: OutcomeDone, Booking: next}
 	case pb.BookingState_waiting:
 		return refusal(reservation, "%s waits for its slots", reservation.Id)
 	}
@@ -341,7 +357,7 @@
 		return result
 	}
 	draft.put(next)
-	return Result{Booking: next}
+	return Result{Outcome: OutcomeDone, Booking: next}
 }
 
 // hasWants reports whether a reservation already has what is wanted, as after a repeated move.
@@ -368,7 +384,7 @@
 	next := nextVersion(reservation)
 	next.State, next.Why, next.EndedAt, next.HeldUntil = pb.BookingState_ended, reason, now, 0
 	draft.put(next)
-	return Result{Booking: next}
+	return Result{Outcome: OutcomeDone, Booking: next}
 }
 
 // IsOver reports whether a reservation can't change any more: it ended, or its time is past.
@@ -411,7 +427,7 @@
 	for _, reservation := range displaced {
 		endBooking(draft, now, reservation, truncateReason(request.Reason))
 	}
-	return Result{Displaced: displaced}
+	return Result{Outcome: OutcomeDone, Displaced: displaced}
 }
 
 // Displaced returns the reservations that this equipment can't serve, in the order of their creation. A
--- a/core/auditlog/entries.go
+++ b/core/auditlog/entries.go
@@ -41,7 +41,8 @@
 	onRecorded            []func(ok bool)
 }
 
-// newEntry returns the entry of an event of this incarnation, with the next sequence number.
+// newEntry returns the entry of an event of this incarnation, with the next sequence number. Its outcome is that it
+// was done, whose stored number is 0: callers that record a denial set the outcome.
 func (r *Recorder) newEntry(event Event) *pb.AuditEntry {
 	r.lastSequence++
 	reason := event.Reason
@@ -57,6 +58,8 @@
 		Verb:   event.Verb,
 		Object: audit.TruncateText(event.Object),
 		Why:    strings.ToValidUTF8(reason, "?"),
+
+		Outcome: pb.AuditOutcome_done,
 	}
 }
 
--- a/core/denials_test.go
+++ b/core/denials_test.go
@@ -179,10 +179,11 @@
 			Name:   "booker",
 			Grants: []*pb.Grant{{Verbs: verbs, Teams: []string{"*"}, Classes: []string{"*"}}},
 		})
-		watchEvents(c, 10*time.Second, revision, packedEvent(t, keyRoles, &pb.Access{Roles: roles}, revision))
 		identity := c.permissions.identities[potter.Identity].identity
 		held := &pb.Identity{Name: identity.Name, Keys: identity.Keys, Roles: []string{"visitor", "booker"}}
-		watchEvents(c, 10*time.Second, revision, packedEvent(t, keyIdentity+potter.Identity, held, revision))
+		watchEvents(c, 10*time.Second, revision,
+			packedEvent(t, keyRoles, &pb.Access{Roles: roles}, revision),
+			packedEvent(t, keyIdentity+potter.Identity, held, revision))
 	}
 	original := c.permissions.roles.Roles
 	grant(3000, pb.Verb_equip, pb.Verb_book)
--- a/core/priorityclasses.go
+++ b/core/priorityclasses.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/prototext"
@@ -21,6 +22,9 @@
 // controllers and an upgrade. No clock decides it, except where the list depends on time.
 const keyPriorityClasses = Root + "lanes"
 
+// priorityClassesAuditObject is the list of priority classes in the audit log.
+const priorityClassesAuditObject = "lanes"
+
 // priorityClassesSeedInterval is the least time between two attempts to store the list of the settings.
 const priorityClassesSeedInterval = 2 * time.Second
 
@@ -212,9 +216,10 @@
 		)
 		return
 	}
-	c.replica.afterReadBarrier(c.ifAuthorized(in.RequestID, in.Caller, pb.Verb_administer, "lanes", func() {
-		c.storePriorityClasses(in, list)
-	}))
+	store := func() { c.storePriorityClasses(in, list) }
+	c.replica.afterReadBarrier(
+		c.ifAuthorized(in.RequestID, in.Caller, pb.Verb_administer, priorityClassesAuditObject, store),
+	)
 }
 
 // storePriorityClasses commits a list, on condition that neither the former list nor the caller's
@@ -232,7 +237,11 @@
 		),
 		Then: []wire.Write{{Put: keyPriorityClasses, Value: raw}},
 	}
+	object, names := priorityClassesAuditObject, strings.Join(list.Names(), " ")
+	event := newAuditEvent(in.Caller, pb.Verb_administer.String(), object, names)
+	handleAuditOutcome := c.auditLog.addEntry(&txn, object, event)
 	c.transactions.commit(txn, &pendingTxn{onDone: func(status wire.Status, r wire.TxnResponse) {
+		handleAuditOutcome(status)
 		c.replica.afterReadBarrier(func(bool) {}) // reads the outcome, even if the response was lost
 		if status != wire.StatusOK {
 			c.respondUnavailable(in.RequestID, "not changed, or not known whether: ask again")
--- a/core/reservations.go
+++ b/core/reservations.go
@@ -172,7 +172,7 @@
 	for _, response := range c.reservations.service.TakeExpired(c.now) {
 		c.respondToReservation(response)
 	}
-	if c.auditLog.isNotReady() || c.schema.active < schemaReservations || c.unixOffsetMS == 0 {
+	if c.access.isNotServing() || c.schema.active < schemaReservations || c.unixOffsetMS == 0 {
 		return
 	}
 	c.seedEquipment()
@@ -308,23 +308,28 @@
 		return compares, ""
 	}
 	if request.Request.Verb == booking.VerbSetInventory {
-		if decision := r.access.authorize(caller, access.Action{Verb: pb.Verb_equip}); !decision.Allowed {
-			return compares, decision.Reason
-		}
-		return compares, ""
+		return compares, denialReason(r.access.authorize(caller, access.Action{Verb: pb.Verb_equip}))
 	}
 	if len(kinds) == 0 {
 		kinds = []string{""} // of a reservation that does not exist
 	}
 	for _, kind := range kinds {
 		action := access.Action{Verb: pb.Verb_book, Team: team, Class: kind}
-		if decision := r.access.authorize(caller, action); !decision.Allowed {
-			return compares, decision.Reason
+		if denial := denialReason(r.access.authorize(caller, action)); denial != "" {
+			return compares, denial
 		}
 	}
 	return compares, ""
 }
 
+// denialReason returns why a decision denies an action, never "", or "" if it allows it.
+func denialReason(decision access.Decision) string {
+	if decision.Allowed {
+		return ""
+	}
+	return cmp.Or(decision.Reason, "not permitted")
+}
+
 // attachAudit returns the audit entries that the next head carries: those of old that are
 // pending, and new ones of the granted requests and of reservations that changed otherwise. It replaces
 // the entries of the previous attempt to build the transaction.
@@ -362,7 +367,7 @@
 	return cmp.Or(request.Request.ID, "equipment")
 }
 
-// reservationStatuses are the statuses of decided requests.
+// reservationStatuses are the statuses of requests that were decided and not denied.
 var reservationStatuses = map[booking.Outcome]wire.Status{
 	booking.OutcomeDone:     wire.StatusOK,
 	booking.OutcomeRepeated: wire.StatusOK,
@@ -375,11 +380,9 @@
 func (c *Core) respondToReservation(response reservations.Response) {
 	request := &response.Request.Request
 	caller := response.Request.CallerData.(reservationCaller)
+	status, decided := reservationStatuses[response.Outcome]
 	switch {
-	case response.TimedOut:
-		c.respondUnavailable(caller.requestID, reasonUndecided)
-		return
-	case response.Forbidden:
+	case response.Outcome == booking.OutcomeForbidden:
 		c.respondForbidden(
 			caller.requestID,
 			caller.caller,
@@ -388,9 +391,11 @@
 			response.Reason,
 		)
 		return
+	case !decided:
+		c.respondUnavailable(caller.requestID, reasonUndecided)
+		return
 	}
-	status := reservationStatuses[response.Outcome]
-	if response.Outcome == booking.OutcomeDone && request.Verb == booking.VerbCreate {
+	if response.IsGranted() && request.Verb == booking.VerbCreate {
 		status = wire.StatusCreated
 	}
 	out := wire.ReservationResponse{
--- a/core/reservations/batch.go
+++ b/core/reservations/batch.go
@@ -114,8 +114,7 @@
 	for _, request := range requests {
 		response, more := s.decideRequest(env, inFlight.draft, request)
 		inFlight.responses = append(inFlight.responses, response)
-		done := response.Outcome == booking.OutcomeDone
-		if done && !response.Forbidden {
+		if response.IsGranted() {
 			granted = append(granted, request)
 		}
 		for _, compare := range more {
@@ -123,7 +122,7 @@
 				compares = append(compares, compare)
 			}
 		}
-		if request.Request.Verb == booking.VerbSetInventory && done {
+		if request.Request.Verb == booking.VerbSetInventory && response.IsGranted() {
 			inFlight.newInventory = request.Request.Replacement
 			break
 		}
@@ -208,7 +207,10 @@
 	compares, denial := env.Authorize(pending, team, s.equipmentKinds(existing, request.Wants))
 	compares = append(compares, archiveCompares...)
 	if denial != "" {
-		return Response{Request: pending, Forbidden: true, Result: booking.Result{Reason: denial}}, compares
+		return Response{
+			Request: pending,
+			Result:  booking.Result{Outcome: booking.OutcomeForbidden, Reason: denial},
+		}, compares
 	}
 	return Response{Request: pending, Result: s.inventory.Decide(draft, env.UnixS, request)}, compares
 }
--- a/core/reservations/pages.go
+++ b/core/reservations/pages.go
@@ -79,6 +79,12 @@
 	return packMessage(equipment, nil)
 }
 
+// DecodeInventory is the reverse of EncodeInventory.
+func DecodeInventory(raw json.RawMessage, equipment *pb.Equipment) error {
+	_, err := unpackMessage(raw, equipment)
+	return err
+}
+
 // ApplyPut applies a watched key. It returns the audit entries that the head carries.
 func (s *Service) ApplyPut(key string, raw json.RawMessage, revision uint64) ([]audit.PendingEntry, error) {
 	switch {
@@ -109,7 +115,7 @@
 		return nil
 	}
 	var equipment pb.Equipment
-	_, err := unpackMessage(raw, &equipment)
+	err := DecodeInventory(raw, &equipment)
 	if err == nil {
 		var inventory *booking.Inventory
 		if inventory, err = booking.NewInventory(&equipment); err == nil {
--- a/core/reservations/service.go
+++ b/core/reservations/service.go
@@ -80,12 +80,10 @@
 	) []audit.PendingEntry
 }
 
-// Response is the answer to a request.
+// Response is the answer to a request: its outcome is OutcomeUndecided if the request expired.
 type Response struct {
 	Request *PendingRequest
 	booking.Result
-	Forbidden bool
-	TimedOut  bool // it expired undecided
 }
 
 // Service is a controller's state of all reservations.
@@ -189,7 +187,7 @@
 func (s *Service) TakeExpired(now time.Duration) (out []Response) {
 	expired := func(request *PendingRequest) bool {
 		if now >= request.Deadline {
-			out = append(out, Response{Request: request, TimedOut: true})
+			out = append(out, Response{Request: request})
 		}
 		return now >= request.Deadline
 	}
--- /dev/null
+++ b/internal/sim/denied_equipment.go
@@ -0,0 +1,68 @@
+package sim
+
+import (
+	"strings"
+	"time"
+
+	"dewlift/core"
+	"dewlift/core/reservations"
+	pb "dewlift/proto"
+	"dewlift/wire"
+)
+
+// Callers without permission replace the list of equipment again and again: every request must be denied, and no
+// write may hold their list.
+
+const (
+	// deniedItemName names the item of the lists that are sent without permission.
+	deniedItemName = "denied"
+
+	maxDeniedEditInterval = 6 * time.Second
+)
+
+// scheduleDeniedEdits schedules changes of the equipment by users who may not change it.
+func (k *reservationChecker) scheduleDeniedEdits() {
+	w := k.sim
+	w.schedule(w.randomDuration(time.Second, maxDeniedEditInterval), func() {
+		k.sendDeniedEdit()
+		k.scheduleDeniedEdits()
+	})
+}
+
+// sendDeniedEdit sends a list of equipment without permission. No answer and 503 decide nothing; any other answer
+// than 403 is a violation.
+func (k *reservationChecker) sendDeniedEdit() {
+	w := k.sim
+	caller := w.randomUser()
+	text := parseEquipment(` pieces { name: "` + deniedItemName + `" kind: "kiln" slot_minutes: 60 }`).Source().String()
+	edit := wire.EquipmentEdit{Text: text, EndDisplaced: true, Reason: "sent without permission"}
+	w.sendRequest(w.anyNode(), reservationTimeout, func(requestID uint64) core.Input {
+		return core.SetEquipment{RequestID: requestID, Caller: caller, Edit: edit}
+	}, func(response core.Response, ok bool) {
+		if !ok || response.Status == wire.StatusUnavailable {
+			return
+		}
+		k.deniedEdits++
+		if response.Status != wire.StatusForbidden {
+			w.Checker.violated("let_in", "a list of equipment of %s got %d: %v",
+				caller.Identity, response.Status, response.Body)
+		}
+	})
+}
+
+// checkNoDeniedItem checks that no list of a caller without permission is stored.
+func (k *reservationChecker) checkNoDeniedItem(keys map[string]*wire.KeyValue) {
+	stored := keys[reservations.KeyInventory]
+	if stored == nil {
+		return
+	}
+	var equipment pb.Equipment
+	if err := reservations.DecodeInventory(stored.Value, &equipment); err != nil {
+		k.sim.Checker.violated("booking", "%s: %v", reservations.KeyInventory, err)
+	}
+	for _, item := range equipment.Pieces {
+		if strings.EqualFold(item.Name, deniedItemName) {
+			k.sim.Checker.violated("let_in", "the list of a caller without permission is stored: %v", &equipment)
+		}
+	}
+}
--- a/internal/sim/reservations.go
+++ b/internal/sim/reservations.go
@@ -34,6 +34,8 @@
 	archived   int // reservations in archive blocks
 	pages      int // stored values with reservations
 	pageMerges int // times their number fell
+
+	deniedEdits int // changes of the inventory without permission that were decided
 }
 
 // reservationView is what users know of a reservation.
@@ -113,6 +115,7 @@
 		k.pageMerges++
 	}
 	k.pages = pages
+	k.checkNoDeniedItem(keys)
 	k.checkTransition(k.lastStored, stored)
 	k.lastStored = stored
 }
@@ -399,6 +402,9 @@
 			k.runSingleSlotUser(fmt.Sprintf("s%03d", i))
 		})
 	}
+	if w.options.Permissions {
+		k.scheduleDeniedEdits()
+	}
 	if w.options.ReservationUsers > 20 { // a kiln goes out of order, and is back later
 		w.schedule(w.options.Duration/3, func() {
 			k.changeEquipment(` pieces { name: "spare" kind: "kiln" slot_minutes: 60 out: 1 }`, false)
--- a/internal/sim/reservations_test.go
+++ b/internal/sim/reservations_test.go
@@ -9,7 +9,9 @@
 	"github.com/anishathalye/porcupine"
 	protobuf "google.golang.org/protobuf/proto"
 
+	"dewlift/core/reservations"
 	pb "dewlift/proto"
+	"dewlift/wire"
 )
 
 // Users reserve the same few hours while controllers crash during a write, writes are executed late, the store is
@@ -78,10 +80,28 @@
 					t.Errorf("no %s in the audit log: %v", verb, w.auditChecker.verbCounts)
 				}
 			}
+			if w.reservations.deniedEdits < 5 {
+				t.Errorf("%d changes of the equipment without permission were decided", w.reservations.deniedEdits)
+			}
 		})
 	}
 }
 
+// A stored list of a caller without permission must be noticed.
+func TestReservationCheckerDetectsDeniedList(t *testing.T) {
+	w := New(Options{Seed: 1})
+	equipment := parseEquipment(` pieces { name: "` + deniedItemName + `" kind: "kiln" slot_minutes: 60 }`).Source()
+	raw, err := reservations.EncodeInventory(equipment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := reservations.KeyInventory
+	w.reservations.checkStored(map[string]*wire.KeyValue{key: {Key: key, Value: raw, Revision: 1}})
+	if !w.Checker.firstViolation("let_in") {
+		t.Errorf("violations are %v", w.Checker.Violations)
+	}
+}
+
 // Each rule of reservations must be violated by a wrong step.
 func TestReservationCheckerDetectsViolations(t *testing.T) {
 	slot := func(piece string, from int64) *pb.Slot {
--- a/priorityclass/list.go
+++ b/priorityclass/list.go
@@ -132,6 +132,15 @@
 // Name is the name of a class.
 func (l *List) Name(classIndex int) string { return l.classes[classIndex].Name }
 
+// Names returns the names of all classes, the most urgent first.
+func (l *List) Names() []string {
+	names := make([]string, 0, len(l.classes))
+	for i := range l.classes {
+		names = append(names, l.classes[i].Name)
+	}
+	return names
+}
+
 // IndexOf is the index of the class of a name; false if there is none.
 func (l *List) IndexOf(name string) (int, bool) {
 	i, ok := l.indexByName[name]
