Tests: reasons of any characters, requests that can't be encoded, holds that run out together (failing)

TestManyHoldsRunOutTogether fails: 600 holds that run out together never end, and every later request is refused as too much to be stored in one value.

--- /dev/null
+++ b/booking/reason_test.go
@@ -0,0 +1,54 @@
+package booking
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	protobuf "google.golang.org/protobuf/proto"
+
+	pb "dewlift/proto"
+)
+
+// What happens: a reservation can't be ended with a long reason in a language whose letters take several bytes. Why:
+// the reason is cut after 200 bytes, within a character, and a protobuf message takes no invalid UTF-8. What showed
+// it: the request is answered "too much to be stored in one value", and the message can't be encoded ("string field
+// contains invalid UTF-8").
+
+// reasonsAroundLimit returns reasons one byte short of the limit, at it and beyond it, of characters of 1 to 4 bytes.
+func reasonsAroundLimit() (out []string) {
+	for _, character := range []string{"a", "é", "窯", "🏺"} {
+		for length := maxReasonBytes - 1; length <= maxReasonBytes+1; length++ {
+			for shift := range len(character) {
+				text := strings.Repeat("x", shift) + strings.Repeat(character, length/len(character))
+				out = append(out, text+strings.Repeat("y", max(0, length-len(text))))
+			}
+		}
+	}
+	return append(out, "", "\x00", "a\x00b", strings.Repeat("窯", 5000), "\xff", "a\xc3", strings.Repeat("\xff", 500))
+}
+
+// Whatever the reason, the reservation ends and can be stored, with as much of the reason as is kept.
+func TestAnyReasonCanBeStored(t *testing.T) {
+	for _, reason := range reasonsAroundLimit() {
+		inventory, schedule := mustParse(t, workshop), NewSchedule()
+		draft := schedule.NewDraft()
+		now := mustParseTime(t, inventory, "2027-03-01T00:00")
+		wants := []*pb.Want{{Piece: "k1", From: mustParseTime(t, inventory, "2027-03-04T08:00"), Slots: 1}}
+		inventory.Decide(draft, now, &Request{ID: "a", Wants: wants})
+		result := inventory.Decide(draft, now, &Request{Verb: VerbEnd, ID: "a", Reason: reason})
+		if result.Outcome != OutcomeDone {
+			t.Fatalf("%q: %v %s", reason, result.Outcome, result.Reason)
+		}
+		why := result.Booking.Why
+		if _, err := protobuf.Marshal(result.Booking); err != nil || len(why) > maxReasonBytes || why == "" {
+			t.Errorf("%q is kept as %q: %v", reason, why, err)
+		}
+		if utf8.ValidString(reason) && reason != "" && !strings.HasPrefix(reason, why) {
+			t.Errorf("%q is kept as %q", reason, why)
+		}
+		if utf8.ValidString(reason) && len(reason)-len(why) > 3 && len(why) < maxReasonBytes-3 {
+			t.Errorf("%q is cut to %d bytes", reason, len(why))
+		}
+	}
+}
--- /dev/null
+++ b/core/reservations/poison_test.go
@@ -0,0 +1,128 @@
+package reservations
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dewlift/booking"
+	"dewlift/wire"
+)
+
+// What happens: a request whose reservation can't be encoded, or can never fit a value, sits among others. Why it
+// matters: the batch that holds it can't be built. What was found: one such request is refused and the others are
+// decided; but reservations that change by time (holds that run out together) have no limit for a transaction, and
+// from some 250 on nothing at all was decided any more: each request was refused as "too much to be stored in one
+// value", for ever.
+
+// A request that can't be encoded must be refused alone; those before and behind it are decided, also by a controller
+// that takes over in between.
+func TestRequestThatCannotBeEncodedIsRefusedAlone(t *testing.T) {
+	poisons := map[string]func(*PendingRequest){
+		"invalid UTF-8": func(request *PendingRequest) { request.Request.Team = "a\xff" },
+		"too long": func(request *PendingRequest) {
+			var team strings.Builder
+			for i := range 20_000 { // does not compress well
+				fmt.Fprintf(&team, "%x ", i*7919)
+			}
+			request.Request.Team = team.String()
+		},
+	}
+	for name, poison := range poisons {
+		t.Run(name, func(t *testing.T) {
+			store := newStore(t)
+			for controller := range 3 {
+				service := New()
+				store.replayTo(t, service)
+				for i := range 9 {
+					request := newRequest(fmt.Sprint("r", controller, "-", i), 1+10*controller+i)
+					if i == 4 {
+						poison(request)
+					}
+					service.Enqueue(request)
+				}
+				responses := decideAll(t, store, service, time.Duration(controller)*time.Second)
+				if len(responses) != 9 {
+					t.Fatalf("%d of 9 requests are decided", len(responses))
+				}
+				for i, response := range responses {
+					want := booking.OutcomeDone
+					if i == 4 {
+						want = booking.OutcomeInvalid
+					}
+					if response.Outcome != want {
+						t.Errorf("request %d: %v %s, want %v", i, response.Outcome, response.Reason, want)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Many holds that run out at the same moment must all end, and new requests must be decided meanwhile.
+func TestManyHoldsRunOutTogether(t *testing.T) {
+	const holds = 600
+	store := newStore(t)
+	service := New()
+	store.replayTo(t, service)
+	for i := range holds {
+		request := newRequest(fmt.Sprintf("hold-of-a-guest-%04d", i*7919%10007), 1000+i)
+		request.Request.HoldSeconds = 600
+		request.Request.Identity = fmt.Sprintf("guest-%d", i*104729%1_000_003)
+		service.Enqueue(request)
+	}
+	for i, response := range decideAll(t, store, service, 0) {
+		if response.Outcome != booking.OutcomeDone {
+			t.Fatalf("hold %d: %v %s", i, response.Outcome, response.Reason)
+		}
+	}
+	now := 700 * time.Second
+	service.Enqueue(newRequest("new", 20))
+	decided := 0
+	for range 100 {
+		now += time.Second
+		if !service.HasWork(now, env(now).UnixS) {
+			continue
+		}
+		txn := service.NextTxn(env(now))
+		if txn == nil {
+			continue
+		}
+		for _, write := range txn.Then {
+			if len(write.Value) > env(now).MaxValueBytes {
+				t.Fatalf("%s has %d bytes", write.Put, len(write.Value))
+			}
+		}
+		status, revision := store.commit(txn)
+		responses, _ := service.HandleOutcome(status, revision)
+		for _, response := range responses {
+			decided++
+			if response.Outcome != booking.OutcomeDone {
+				t.Errorf("the new request: %v %s", response.Outcome, response.Reason)
+			}
+		}
+	}
+	if decided != 1 {
+		t.Errorf("%d answers to the new request", decided)
+	}
+	if service.schedule.HasDueChanges(env(now).UnixS) {
+		t.Error("not all holds have ended")
+	}
+}
+
+// A status without meaning for a batch must not lose its requests.
+func TestRefusedBatchIsDecidedAgain(t *testing.T) {
+	store := newStore(t)
+	service := New()
+	store.replayTo(t, service)
+	service.Enqueue(newRequest("x", 100))
+	if service.NextTxn(env(0)) == nil {
+		t.Fatal("no transaction")
+	}
+	if responses, _ := service.HandleOutcome(wire.StatusBadRequest, 0); len(responses) != 0 {
+		t.Fatalf("answered %+v", responses)
+	}
+	service.HeadRead()
+	expectOutcomes(t, store.commitBatch(t, service, time.Second), booking.OutcomeDone)
+}
--- /dev/null
+++ b/internal/utf8text/utf8text_test.go
@@ -0,0 +1,51 @@
+package utf8text
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"pgregory.net/rapid"
+)
+
+// A text is cut between characters, as late as possible, and what fits stays as it is.
+func TestTruncate(t *testing.T) {
+	for _, tt := range []struct {
+		text     string
+		maxBytes int
+		ellipsis string
+		want     string
+	}{
+		{"", 3, "", ""},
+		{"abc", 3, "...", "abc"},
+		{"abcd", 3, "...", "..."},
+		{"aé", 3, "", "aé"},
+		{"aé", 2, "", "a"},
+		{"窯窯", 5, "", "窯"},
+		{"🏺🏺", 7, "", "🏺"},
+		{"🏺", 3, "", ""},
+		{"a\x00b", 3, "", "a\x00b"},
+		{"a\xffb", 3, "", "a?b"},
+		{"窯窯窯", 8, "...", "窯..."},
+	} {
+		if got := Truncate(tt.text, tt.maxBytes, tt.ellipsis); got != tt.want {
+			t.Errorf("%q in %d bytes is %q, want %q", tt.text, tt.maxBytes, got, tt.want)
+		}
+	}
+}
+
+// Any text is cut to valid UTF-8 within the limit, and loses less than a character beside what must go.
+func TestTruncateAnyText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := string(rapid.SliceOf(rapid.Byte()).Draw(t, "text"))
+		maxBytes := rapid.IntRange(0, 40).Draw(t, "maxBytes")
+		got := Truncate(text, maxBytes, "")
+		valid := strings.ToValidUTF8(text, invalidReplacement)
+		if !utf8.ValidString(got) || len(got) > maxBytes || !strings.HasPrefix(valid, got) {
+			t.Fatalf("%q in %d bytes is %q", text, maxBytes, got)
+		}
+		if len(got) < min(len(valid), maxBytes)-(utf8.UTFMax-1) {
+			t.Fatalf("%q in %d bytes is %q, cut too early", text, maxBytes, got)
+		}
+	})
+}
