Reasons are cut between characters; holds that run out together end in several transactions

Symptom: a reservation could not be ended with a long reason in letters of several bytes; 600 holds that ran out together never ended, and no reservation could be made any more. Cause: the reason was cut within a character, which protobuf refuses; a batch that does not fit a value halved its requests, but not what the time had ended. What the time has ended is committed alone, as much as fits, before more requests are decided. Texts that can't be stored get 400 with the field and its limit.

--- a/audit/aggregator.go
+++ b/audit/aggregator.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
-	"unicode/utf8"
 
+	"dewlift/internal/utf8text"
 	pb "dewlift/proto"
 )
 
@@ -26,6 +26,9 @@
 	maxTextBytes       = 200 // of a text in an entry
 )
 
+// Ellipsis ends a text that was cut.
+const Ellipsis = "..."
+
 // OtherValues stands for objects or identities that are not told apart.
 const OtherValues = "(others)"
 
@@ -97,14 +100,5 @@
 
 // TruncateText returns a text as an entry holds it: valid UTF-8 of bounded length.
 func TruncateText(text string) string {
-	const ellipsis = "..."
-	text = strings.ToValidUTF8(text, "?")
-	if len(text) <= maxTextBytes {
-		return text
-	}
-	end := maxTextBytes - len(ellipsis)
-	for !utf8.RuneStart(text[end]) {
-		end--
-	}
-	return text[:end] + ellipsis
+	return utf8text.Truncate(text, maxTextBytes, Ellipsis)
 }
--- a/booking/decide.go
+++ b/booking/decide.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"regexp"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	protobuf "google.golang.org/protobuf/proto"
 
+	"dewlift/internal/utf8text"
 	pb "dewlift/proto"
 )
 
@@ -142,8 +144,8 @@
 	return endBooking(draft, now, reservation, cmp.Or(truncateReason(request.Reason), "ended by its booker"))
 }
 
-// truncateReason cuts a reason to the stored length.
-func truncateReason(reason string) string { return reason[:min(len(reason), maxReasonBytes)] }
+// truncateReason returns a reason as it is stored: valid UTF-8 of bounded length.
+func truncateReason(reason string) string { return utf8text.Truncate(reason, maxReasonBytes, "") }
 
 // refusal returns the result of a request that is not possible now.
 func refusal(reservation *pb.Booking, format string, args ...any) Result {
@@ -170,7 +172,11 @@
 
 // Advance ends reservations whose time has run out and assigns what is free to the waitlist, in its
 // order. Afterwards no waiting reservation can be met, so a later request never overtakes one.
-func (inv *Inventory) Advance(draft *Draft, now int64) {
+func (inv *Inventory) Advance(draft *Draft, now int64) { inv.AdvanceUpTo(draft, now, math.MaxInt) }
+
+// AdvanceUpTo is Advance that ends at most maxEnded reservations, those first that changed longest ago: HasDueChanges
+// reports whether some are left. Those keep what they have, so nothing that they free is assigned too early.
+func (inv *Inventory) AdvanceUpTo(draft *Draft, now int64, maxEnded int) {
 	var expired []*pb.Booking
 	for _, reservation := range draft.schedule.held {
 		if reservation.HeldUntil <= now {
@@ -178,12 +184,15 @@
 		}
 	}
 	slices.SortFunc(expired, func(a, b *pb.Booking) int { return cmp.Compare(a.Change, b.Change) })
-	for _, reservation := range expired {
+	ended := min(len(expired), maxEnded)
+	for _, reservation := range expired[:ended] {
 		endBooking(draft, now, reservation, "its hold ran out unconfirmed")
 	}
 	for _, reservation := range slices.Clone(draft.schedule.waitlist) {
 		if hasBegun(reservation.Wants, now) {
-			endBooking(draft, now, reservation, "nothing had become free when it was to begin")
+			if ended++; ended <= maxEnded {
+				endBooking(draft, now, reservation, "nothing had become free when it was to begin")
+			}
 			continue
 		}
 		slots, _, err := inv.findUnits(draft.schedule, reservation.Id, reservation.Team, reservation.Wants)
--- a/core/auditlog/entries.go
+++ b/core/auditlog/entries.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dewlift/audit"
+	"dewlift/internal/utf8text"
 	pb "dewlift/proto"
 	"dewlift/wire"
 )
@@ -45,10 +46,6 @@
 // was done, whose stored number is 0: callers that record a denial set the outcome.
 func (r *Recorder) newEntry(event Event) *pb.AuditEntry {
 	r.lastSequence++
-	reason := event.Reason
-	if len(reason) > maxReasonBytes {
-		reason = strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
-	}
 	return &pb.AuditEntry{
 		Life:   r.incarnation,
 		Count:  r.lastSequence,
@@ -57,7 +54,7 @@
 		Key:    audit.TruncateText(event.Key),
 		Verb:   event.Verb,
 		Object: audit.TruncateText(event.Object),
-		Why:    strings.ToValidUTF8(reason, "?"),
+		Why:    utf8text.Truncate(event.Reason, maxReasonBytes, audit.Ellipsis),
 
 		Outcome: pb.AuditOutcome_done,
 	}
--- a/core/jobrecord/record.go
+++ b/core/jobrecord/record.go
@@ -12,10 +12,10 @@
 	"slices"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 
 	"dewlift/archive"
 	"dewlift/audit"
+	"dewlift/internal/utf8text"
 	"dewlift/wire"
 )
 
@@ -305,9 +305,7 @@
 			n--
 		}
 	}
-	for n > 0 && !utf8.RuneStart((g.NameSuffixes[0] + "x")[n]) {
-		n--
-	}
+	n = utf8text.PrefixLength(g.NameSuffixes[0], n)
 	g.NamePrefix = g.NameSuffixes[0][:n]
 	for i := range g.NameSuffixes {
 		g.NameSuffixes[i] = g.NameSuffixes[i][n:]
--- a/core/reservations.go
+++ b/core/reservations.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -93,21 +95,9 @@
 // handleReserveEquipment validates a reservation request and queues it.
 func (c *Core) handleReserveEquipment(in ReserveEquipment) {
 	reservation := in.Request
-	if !booking.ValidID(reservation.ID) {
-		c.respond(
-			in.RequestID,
-			wire.StatusBadRequest,
-			wire.ReservationResponse{Error: "id: letters, digits, dots, dashes and underscores, at most 64"},
-		)
-		return
-	}
-	rank, ok := wire.Priority(cmp.Or(reservation.Priority, wire.PriorityName(wire.PriorityStandard)))
-	if !ok {
-		c.respond(
-			in.RequestID,
-			wire.StatusBadRequest,
-			wire.ReservationResponse{Error: "priority: there is no " + reservation.Priority},
-		)
+	rank, err := validateReservation(&reservation)
+	if err != nil {
+		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: err.Error()})
 		return
 	}
 	if !c.canServeReservations(in.RequestID) {
@@ -133,6 +123,22 @@
 	)
 }
 
+// validateReservation returns the rank of a request on the waitlist, or an error that names the field
+// that no reservation may have so.
+func validateReservation(reservation *wire.ReservationRequest) (rank int, err error) {
+	if !booking.ValidID(reservation.ID) {
+		return 0, errors.New("id: letters, digits, dots, dashes and underscores, at most 64")
+	}
+	if !wire.ValidTeam(reservation.Team) {
+		return 0, errors.New("team: " + wire.TeamLimit())
+	}
+	rank, ok := wire.Priority(cmp.Or(reservation.Priority, wire.PriorityName(wire.PriorityStandard)))
+	if !ok {
+		return 0, errors.New("priority: there is no " + reservation.Priority)
+	}
+	return rank, nil
+}
+
 // enqueueReservationRequest queues a request, or answers it if too many are queued.
 func (c *Core) enqueueReservationRequest(request *reservations.PendingRequest) {
 	request.Deadline = c.now + c.cfg.Scheduling.SubmitWriteTimeout
@@ -148,6 +154,12 @@
 		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: "equipment: " + err.Error()})
 		return
 	}
+	if raw, err := reservations.EncodeInventory(inventory.Source()); err != nil ||
+		len(raw) > c.cfg.Store.MaxValueBytes {
+		why := fmt.Sprintf("equipment: it takes %d bytes, at most %d can be stored", len(raw), c.cfg.Store.MaxValueBytes)
+		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: why})
+		return
+	}
 	if !c.canServeReservations(in.RequestID) {
 		return
 	}
--- a/core/reservations/batch.go
+++ b/core/reservations/batch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 
 	"dewlift/booking"
@@ -12,7 +13,8 @@
 
 // NextTxn decides queued requests and returns the transaction that commits the decisions, or nil if
 // there is nothing to commit. The outcome goes to HandleOutcome. A batch that does not fit a value is
-// halved until it fits.
+// halved until it fits. If not even one request fits beside what the time has ended, that is committed
+// alone, in as many transactions as needed.
 func (s *Service) NextTxn(env Env) *wire.Txn {
 	s.deferUntilBlockRead()
 	s.blockedByAudit = false
@@ -20,16 +22,32 @@
 		return nil
 	}
 	for limit := min(len(s.queue), maxBatchRequests); ; limit /= 2 {
-		txn, fits := s.tryBatch(env, limit)
+		txn, fits := s.tryBatch(env, limit, math.MaxInt)
 		if fits {
 			s.queue = s.queue[len(s.inFlight.responses):]
 			s.nextTxnAt = env.Now + batchInterval
 			return txn
 		}
-		if limit <= 1 {
-			return s.handleOversizedBatch(env, limit)
+		if limit > 1 {
+			continue
+		}
+		if s.rollBackInFlight(); s.schedule.HasDueChanges(env.UnixS) {
+			return s.nextDueTxn(env)
+		}
+		return s.handleOversizedBatch(env, limit)
+	}
+}
+
+// nextDueTxn returns a transaction that ends as many of the reservations whose time has run out as fit
+// a value, without any request: requests wait until all of them have ended.
+func (s *Service) nextDueTxn(env Env) *wire.Txn {
+	for limit := s.schedule.Len(); limit > 0; limit /= 2 {
+		if txn, fits := s.tryBatch(env, 0, limit); fits {
+			s.nextTxnAt = env.Now + batchInterval
+			return txn
 		}
 	}
+	return s.handleOversizedBatch(env, 0)
 }
 
 // handleOversizedBatch handles a batch of one request, or of none, that does not fit a value. If only
@@ -76,15 +94,15 @@
 	return txn
 }
 
-// tryBatch decides up to limit queued requests and builds their transaction, which becomes the one in
-// flight. It reports false if a value would be too large.
-func (s *Service) tryBatch(env Env, limit int) (txn *wire.Txn, fits bool) {
+// tryBatch ends up to maxEnded reservations whose time has run out, decides up to limit queued requests
+// and builds their transaction, which becomes the one in flight. It reports false if a value would be too large.
+func (s *Service) tryBatch(env Env, limit, maxEnded int) (txn *wire.Txn, fits bool) {
 	s.rollBackInFlight()
 	inFlight := &inFlightTxn{draft: s.schedule.NewDraft()}
 	s.inFlight = inFlight
 	// Otherwise every change has already assigned what it freed, and no waiting reservation can get it.
 	if s.schedule.HasDueChanges(env.UnixS) {
-		s.inventory.Advance(inFlight.draft, env.UnixS)
+		s.inventory.AdvanceUpTo(inFlight.draft, env.UnixS, maxEnded)
 	}
 	compares, granted := s.decideRequests(env, inFlight, s.queue[:limit])
 	txn = s.compareTxn(compares)
--- a/core/reservations_test.go
+++ b/core/reservations_test.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,3 +35,29 @@
 		}
 	}
 }
+
+// A request with a text that can't be stored is refused with the field and its limit, and is not queued.
+func TestUnstorableReservationIsRefusedAtOnce(t *testing.T) {
+	c := newAuditingCoreWithEquipment(t)
+	long := strings.Repeat("é", 101)
+	var items strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&items, "pieces { name: \"k%x\" kind: \"kiln\" slot_minutes: %d }\n", i*7919*104729, 1+i%50)
+	}
+	for _, tt := range []struct {
+		name, want string
+		input      Input
+	}{
+		{"team", "team: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-1", Team: long}}},
+		{"team of no UTF-8", "team: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-1", Team: "a\xff"}}},
+		{"id", "id: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-\x00"}}},
+		{"equipment", "equipment: ", SetEquipment{Edit: wire.EquipmentEdit{Text: items.String()}}},
+	} {
+		c.Handle(10*time.Second, tt.input)
+		responses := outputsOfType[Response](c.Advance(10 * time.Second))
+		if len(responses) != 1 || responses[0].Status != wire.StatusBadRequest ||
+			!strings.HasPrefix(responses[0].Body.(wire.ReservationResponse).Error, tt.want) {
+			t.Errorf("%s: %+v", tt.name, responses)
+		}
+	}
+}
--- a/wire/job.go
+++ b/wire/job.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Limits of a submission.
@@ -138,11 +139,31 @@
 		return JobSpec{}, fmt.Errorf("not a valid job: %w", err)
 	}
 	if field := submission.invalidField(); field != "" {
-		return JobSpec{}, fmt.Errorf("%s is missing or invalid", field)
+		return JobSpec{}, fmt.Errorf("%s is missing or invalid%s", field, fieldLimit(field))
 	}
 	return submission.spec(), nil
 }
 
+// fieldLimit describes the limit of a field of a submission, for an error; "" if it has none.
+func fieldLimit(field string) string {
+	switch field {
+	case "uid", "awaits":
+		return fmt.Sprintf(": %s and letters, digits, dashes and underscores, %d to %d characters in all",
+			jobIDPrefix, minJobIDBytes, maxJobIDBytes)
+	case "ware", "crew", "yard":
+		return fmt.Sprintf(": 1 to %d bytes", maxNameBytes)
+	case "mould":
+		return fmt.Sprintf(": at most %d bytes", maxNameBytes)
+	case "kilns":
+		return fmt.Sprintf(": 1 to %d names of 1 to %d bytes", maxMachineTypes, maxNameBytes)
+	case "pieces":
+		return fmt.Sprintf(": from 1 to %d", MaxTasksPerJob)
+	case "cpus", "cards", "ram_gb", "image_gb", "firing_s", "glaze_s", "cool_s", "due_s":
+		return fmt.Sprintf(": from 0 to %.0f", float64(maxAmount))
+	}
+	return ""
+}
+
 // invalidField returns the wire name of the first missing or invalid field, or "" if there is none.
 func (s *Submission) invalidField() string {
 	if field := s.invalidIdentity(); field != "" {
@@ -234,6 +255,12 @@
 	return ""
 }
 
+// ValidTeam reports whether a team may have a name.
+func ValidTeam(name string) bool { return len(name) <= maxNameBytes && utf8.ValidString(name) }
+
+// TeamLimit describes the names that a team may have, for an error.
+func TeamLimit() string { return fmt.Sprintf("valid UTF-8 of at most %d bytes", maxNameBytes) }
+
 func validName(name *string) bool { return name != nil && *name != "" && len(*name) <= maxNameBytes }
 
 func validAmount(v *float64) bool { return v != nil && *v >= 0 && *v <= maxAmount && !math.IsNaN(*v) }
