--- a/core/reservations.go
+++ b/core/reservations.go
@@ -156,7 +156,7 @@
 	}
 	if raw, err := reservations.EncodeInventory(inventory.Source()); err != nil ||
 		len(raw) > c.cfg.Store.MaxValueBytes {
-		why := fmt.Sprintf("equipment: it takes %d bytes, at most %d can be stored", len(raw), c.cfg.Store.MaxValueBytes)
+		why := fmt.Sprintf("equipment: it takes %d bytes, at most %d are stored", len(raw), c.cfg.Store.MaxValueBytes)
 		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: why})
 		return
 	}
--- a/wire/job_test.go
+++ b/wire/job_test.go
@@ -34,7 +34,10 @@
 				if fits := length <= maxNameBytes; fits != (err == nil) {
 					t.Errorf("%s of %d bytes: %v", field, length, err)
 				}
-				if err != nil && (!strings.Contains(err.Error(), field) || !strings.Contains(err.Error(), "200 bytes")) {
+				if err == nil {
+					continue
+				}
+				if why := err.Error(); !strings.Contains(why, field) || !strings.Contains(why, "200 bytes") {
 					t.Errorf("%s of %d bytes: the error names no limit: %v", field, length, err)
 				}
 			}
