A controller follows all that are alike to those whose work comes before its own

Cause: two controllers could have the same rank for freed capacity, although the work of one came clearly before the other's; the first to hear of the capacity had it. With work before its own at another controller, a controller now also follows those alike to it, so its rank is larger.

--- a/core/yield.go
+++ b/core/yield.go
@@ -18,7 +18,10 @@
 
 // queuePositions count, for on-demand and for spot machines, the other controllers whose waiting work
 // is before a job in the queue, and those whose work is at about the same position.
-type queuePositions [2]struct{ before, alike int }
+type queuePositions [2]queuePosition
+
+// queuePosition counts the other controllers by their waiting work.
+type queuePosition struct{ before, alike int }
 
 // yieldDelay is how long capacity on a machine that was freed recently is still left to other
 // controllers. All controllers learn of it with the same push, and each would fill it: while more work
@@ -36,7 +39,7 @@
 	if target.identity.spot {
 		position = positions[1]
 	}
-	rank := position.before + min(c.machineRank(target), position.alike)
+	rank := position.rank(c.machineRank(target))
 	if rank == 0 {
 		return 0
 	}
@@ -45,6 +48,18 @@
 	return max(0, row.CapacityFreedAt()+window-c.now)
 }
 
+// rank is how many controllers have freed capacity on a machine before this one, whose rank in the
+// machine's rendezvous order is machineRank. A controller whose work comes before this one's may itself
+// follow those alike to it, and these are alike to this one or before it: so with any before it, this
+// one follows all of those alike too. When it followed only those before it in the machine's order, it
+// could have the same rank as a controller whose work had waited longer, and start later work first.
+func (p queuePosition) rank(machineRank int) int {
+	if p.before > 0 {
+		return p.before + p.alike
+	}
+	return min(machineRank, p.alike)
+}
+
 // queuePositionsOf compares a job's queue position with those of the other controllers' waiting work.
 func (c *Core) queuePositionsOf(priorityClass int, enqueuedAtMS int64) (positions queuePositions) {
 	for i := range positions {
--- a/core/yield_test.go
+++ b/core/yield_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dewlift/clusterstate"
+	"dewlift/core/membership"
 	"dewlift/wire"
 )
 
@@ -87,3 +90,59 @@
 	}
 	return push
 }
+
+// A controller whose work comes clearly before another's has freed capacity first, whatever the order of the machine:
+// two that had the same rank took it in the order in which they heard of it.
+func TestEarlierWorkHasFreedCapacityFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const noWork = -1
+		heads := rapid.SliceOfN(rapid.IntRange(noWork, 12), 2, 5).Draw(t, "seconds at which the first job came")
+		order := rapid.Permutation(indices(len(heads))).Draw(t, "ranks of the controllers at the machine")
+		ranks := make([]int, len(heads))
+		for i, head := range heads {
+			position := membership.QueuePosition{EnqueuedAtMS: int64(head) * 1000}
+			before, alike := othersOf(heads, i).CountCompetitors(0, func(string) bool { return true }, position, false)
+			ranks[i] = queuePosition{before: before, alike: alike}.rank(order[i])
+		}
+		for i, head := range heads {
+			for j, other := range heads {
+				if head != noWork && other != noWork && head+3 < other && ranks[i] >= ranks[j] {
+					t.Fatalf("work of second %d has rank %d, of second %d rank %d", head, ranks[i], other, ranks[j])
+				}
+			}
+		}
+	})
+}
+
+// indices lists the numbers from 0 to n-1.
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// othersOf is what the controller of an index knows of the others, each with the head of its queue, or none if that is
+// negative.
+func othersOf(heads []int, index int) *membership.Members {
+	var names []string
+	for i := range heads {
+		if i != index {
+			names = append(names, fmt.Sprint("n", i))
+		}
+	}
+	members := membership.New(names, time.Second)
+	for i, head := range heads {
+		if i == index {
+			continue
+		}
+		name := fmt.Sprint("n", i)
+		members.MarkHeard(0, name)
+		members.Peer(name).StoreReachable = true
+		if head >= 0 {
+			members.Peer(name).QueueHeads = []membership.QueuePosition{{EnqueuedAtMS: int64(head) * 1000}}
+		}
+	}
+	return members
+}
