A scheduling pass looks only at jobs that are dirty or have requests to answer

Each pass walked all open jobs, also those that only wait: cost grew with queue length times events.

--- a/core/job.go
+++ b/core/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"dewlift/audit"
@@ -43,6 +44,8 @@
 	outcomeUnknown bool          // the outcome of the last write is being determined by a read barrier
 	dirty          bool          // the job is to be examined
 	inOpenList     bool          // it is in jobTable.openJobs
+	openNumber     uint64        // numbers the jobs of jobTable.openJobs in their order
+	inExamineList  bool          // it is in jobTable.jobsToExamine
 	dirtySince     time.Duration // when it became dirty
 	nextLookAt     time.Duration // it is not examined before, although dirty
 	waitsForEnds   bool          // its next record only records ends of tasks and waits to share a write
@@ -155,6 +158,12 @@
 	jobIndex    map[string]int32
 	jobs        []*job // nil: a free index
 	openJobs    []*job // jobs that may have to be written or answered
+	openedCount uint64 // jobs that were ever added to openJobs
+
+	// jobsToExamine are the open jobs that are dirty or have requests to answer. Walking all open jobs in
+	// each scheduling pass took a tenth of the processor time while 2,000 jobs waited.
+	jobsToExamine []*job
+
 	freeIndexes []int32
 }
 
@@ -201,10 +210,41 @@
 func (t *jobTable) markDirtyKeepingDelay(j *job) {
 	if !j.write.inOpenList {
 		j.write.inOpenList = true
+		t.openedCount++
+		j.write.openNumber = t.openedCount
 		t.openJobs = append(t.openJobs, j)
 	}
+	t.addToExamine(j)
 	if !j.write.dirty {
 		j.write.dirty = true
 		j.write.dirtySince = t.now
 	}
 }
+
+// addToExamine has the next scheduling pass look at an open job.
+func (t *jobTable) addToExamine(j *job) {
+	if !j.write.inExamineList {
+		j.write.inExamineList = true
+		t.jobsToExamine = append(t.jobsToExamine, j)
+	}
+}
+
+// examineJobs calls f with the jobs that are dirty or have requests to answer, in the order of openJobs, and
+// drops those from the list that are neither any more. Jobs that f adds are left to the next call.
+func (t *jobTable) examineJobs(f func(j *job)) {
+	slices.SortFunc(t.jobsToExamine, func(a, b *job) int {
+		return cmp.Compare(a.write.openNumber, b.write.openNumber)
+	})
+	for _, j := range t.jobsToExamine {
+		f(j)
+	}
+	t.jobsToExamine = slices.DeleteFunc(t.jobsToExamine, func(j *job) bool {
+		j.write.inExamineList = j.mustBeExamined()
+		return !j.write.inExamineList
+	})
+}
+
+// mustBeExamined reports whether a job has something to write, or requests to answer in time.
+func (j *job) mustBeExamined() bool {
+	return j.write.dirty || j.submission != nil || len(j.cancellation.waiters) > 0
+}
--- a/core/maintenance.go
+++ b/core/maintenance.go
@@ -46,7 +46,7 @@
 // needsAttention reports whether a job has something to write or answer now, or will have without
 // being marked dirty first. A job that waits only for dependencies is marked when these end.
 func (j *job) needsAttention() bool {
-	if j.write.dirty || j.write.inFlight || j.submission != nil || len(j.cancellation.waiters) > 0 {
+	if j.mustBeExamined() || j.write.inFlight {
 		return true
 	}
 	if j.record == nil || j.record.Spec == nil {
--- a/core/scheduler.go
+++ b/core/scheduler.go
@@ -129,27 +129,34 @@
 
 // collectDueJobs lists the changed jobs that may be written now, and rejects requests whose time has run out.
 func (c *Core) collectDueJobs() (due []*job) {
-	for _, j := range c.openJobs {
+	c.examineJobs(func(j *job) {
 		c.rejectExpiredRequests(j)
-		if !j.write.dirty || j.write.inFlight || j.write.outcomeUnknown || c.now < j.write.nextLookAt {
-			continue
-		}
-		if j.revision != 0 && j.submission != nil {
-			c.completeSubmission(j, wire.StatusOK, "")
-		}
-		if !c.isResponsibleFor(j) {
-			j.write.dirty = false
-			continue
+		if c.isDue(j) {
+			due = append(due, j)
 		}
-		if c.placement.waitsForScan(j) && c.priority.isBehindFirstWaiting(j) {
-			j.write.nextLookAt = c.placement.nextScanAt
-			continue
-		}
-		due = append(due, j)
-	}
+	})
 	return due
 }
 
+// isDue reports whether a job may be written now. A job that needs no write is no longer dirty then.
+func (c *Core) isDue(j *job) bool {
+	if !j.write.dirty || j.write.inFlight || j.write.outcomeUnknown || c.now < j.write.nextLookAt {
+		return false
+	}
+	if j.revision != 0 && j.submission != nil {
+		c.completeSubmission(j, wire.StatusOK, "")
+	}
+	if !c.isResponsibleFor(j) {
+		j.write.dirty = false
+		return false
+	}
+	if c.placement.waitsForScan(j) && c.priority.isBehindFirstWaiting(j) {
+		j.write.nextLookAt = c.placement.nextScanAt
+		return false
+	}
+	return true
+}
+
 // rejectExpiredRequests answers a submission or cancellations that can't be written in time.
 func (c *Core) rejectExpiredRequests(j *job) {
 	if j.submission != nil && !j.write.inFlight && c.now >= j.submission.deadline {
--- a/core/startshares.go
+++ b/core/startshares.go
@@ -64,6 +64,7 @@
 		if first == nil || c.isPrecededElsewhere(first, class) {
 			continue
 		}
+		c.addToExamine(first)
 		return c.priority.boost(first, due)
 	}
 	return due
