The suspected faults: relayed health, identity of agents, catalog, slots, preemption and others

TestPartialPreemptionLeavesTheRestOfADemand names the type that the mend brought, otherwise as it was.

--- a/cmd/dewlift/audit.go
+++ b/cmd/dewlift/audit.go
@@ -515,6 +515,9 @@
 	if err == nil {
 		err = json.Unmarshal(raw, &ends)
 	}
+	if err == nil && ends == nil {
+		err = errors.New("null is no list of ends")
+	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("ends %s: %w", path, err)
 	}
--- a/cmd/dewlift/main.go
+++ b/cmd/dewlift/main.go
@@ -46,7 +46,7 @@
 // featureFiles are the files that enable features; "": the feature is off.
 type featureFiles struct{ permissionsFile, tlsFile, equipmentFile, priorityClassesFile string }
 
-// validate reads the files of permissions, priority classes and equipment that are named, and the tuning.
+// validate reads the files that are named, and the tuning.
 func (files *featureFiles) validate(tuning string) error {
 	if _, err := settings.LoadTuning(tuning); err != nil {
 		return err
@@ -61,6 +61,11 @@
 			return err
 		}
 	}
+	if files.tlsFile != "" {
+		if _, err := tlsconfig.Load(files.tlsFile, slog.New(slog.DiscardHandler)); err != nil {
+			return err
+		}
+	}
 	if files.equipmentFile != "" {
 		if _, err := loadEquipment(files.equipmentFile); err != nil {
 			return err
--- a/core/assignment.go
+++ b/core/assignment.go
@@ -117,8 +117,10 @@
 	if !a.spec.OneZone {
 		return
 	}
-	for zone := range a.tasksInZone {
-		a.onlyZone = zone
+	for _, zone := range sortedKeys(a.tasksInZone) {
+		if a.tasksInZone[zone] > a.tasksInZone[a.onlyZone] {
+			a.onlyZone = zone
+		}
 	}
 	if a.onlyZone == "" {
 		a.onlyZone = a.core.zoneWithMostCapacity(a.spec)
--- a/core/autoscaler.go
+++ b/core/autoscaler.go
@@ -21,6 +21,7 @@
 	storedRevision  uint64       // revision of the stored catalog; 0: none is stored
 	storedCatalog   wire.Catalog // as the key-value store holds it
 	storeInFlight   bool
+	tooLargeLogged  bool // it was told that the catalog does not fit a value
 	catalogInFlight bool
 	classStats      map[string]*classStats
 	pendingCalls    map[uint64]func(CloudResult) // callbacks by request ID
--- a/core/batchvalues.go
+++ b/core/batchvalues.go
@@ -176,12 +176,13 @@
 	}
 }
 
-// slotDraft is the next value of a slot in a transaction, begun with the entries that still apply.
+// slotDraft is the next value of a slot in a transaction: the one begun already, or a new one with the entries
+// that still apply, which is not part of the transaction yet.
 func (b *txnBuilder) slotDraft(number int) *batchvalue.Draft {
 	if draft := b.slotDrafts[number]; draft != nil {
 		return draft
 	}
-	draft := b.core.replica.slots.at(number).BeginDraft(func(id string, raw json.RawMessage) bool {
+	return b.core.replica.slots.at(number).BeginDraft(func(id string, raw json.RawMessage) bool {
 		target := b.core.knownJob(id)
 		if target == nil || target.record.Spec == nil || target.isFinal() {
 			return false
@@ -190,8 +191,6 @@
 		// An entry that can't be decoded, or belongs to a write that the replica does not have yet, is kept.
 		return err != nil || entry.WriteNumber >= target.record.WriteNumber
 	})
-	b.addSlot(number, draft)
-	return draft
 }
 
 // addSlot makes a transaction write a slot.
@@ -216,9 +215,13 @@
 
 // addSlotEntry puts a proposal's entry into its slot, and reports whether the slot has capacity for it.
 func (b *txnBuilder) addSlotEntry(next *proposal, entry json.RawMessage) bool {
-	if !b.slotDraft(next.slotIndex).TryPut(next.job.id, entry, b.core.cfg.Store.maxSlotBytes()) {
+	draft := b.slotDraft(next.slotIndex)
+	if !draft.TryPut(next.job.id, entry, b.core.cfg.Store.maxSlotBytes()) {
 		return false
 	}
+	if b.slotDrafts[next.slotIndex] == nil {
+		b.addSlot(next.slotIndex, draft)
+	}
 	b.valueBytes += len(entry)
 	next.inSlot = true
 	return true
--- a/core/catalog.go
+++ b/core/catalog.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -77,6 +78,11 @@
 	maxBytes := c.cfg.Store.MaxValueBytes
 	raw, err := jobrecord.EncodeCatalog(catalog, maxBytes, c.schema.active >= schemaDependencies)
 	if err != nil || len(raw) > maxBytes {
+		if !c.autoscaler.tooLargeLogged {
+			c.autoscaler.tooLargeLogged = true
+			c.log(LevelError, "machine types do not fit a value: not served while the cloud is down, after a restart",
+				"bytes", len(raw), "value_bytes", maxBytes, "err", err)
+		}
 		return // it is tried again with the next read
 	}
 	c.autoscaler.storeInFlight = true
@@ -89,9 +95,9 @@
 	}})
 }
 
-// isSameMachineType reports whether two machine types agree in what makes the leader store the catalog
-// again. The spot price, the local disk and the image pull rate do not.
+// isSameMachineType reports whether two machine types agree in everything that is stored of them.
 func isSameMachineType(a, b wire.MachineType) bool {
-	return a.Name == b.Name && a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB &&
-		a.Price == b.Price && a.BootS == b.BootS && slices.Equal(a.Zones, b.Zones)
+	zonesOfA, zonesOfB := a.Zones, b.Zones
+	a.Zones, b.Zones = nil, nil
+	return slices.Equal(zonesOfA, zonesOfB) && reflect.DeepEqual(a, b)
 }
--- a/core/heartbeats.go
+++ b/core/heartbeats.go
@@ -20,6 +20,8 @@
 	batchesPerDigest = 4
 	// heartbeatMargin is added to the interval of heartbeats for delays of the network and the agent.
 	heartbeatMargin = 300 * time.Millisecond
+	// noticeTolerance is how much the deadline of an interruption notice differs from heartbeat to heartbeat.
+	noticeTolerance = 2 * time.Second
 	// maxPollBackoffShift bounds the exponential back-off between status polls: 1 s shifted by it is 16 s.
 	maxPollBackoffShift = 4
 )
@@ -119,7 +121,7 @@
 		return
 	}
 	digest := taskStatusDigest(r)
-	if m.status.matches(r.Incarnation, digest) {
+	if m.status.matches(r.Incarnation, digest) && m.isDescribedBy(r, c.now) {
 		// Most heartbeats of a large fleet change nothing; the peers need only the sign of life.
 		c.recordLiveness(m, r.Sequence, r.FencingToken)
 		if direct {
@@ -160,15 +162,31 @@
 	m.status.reported = true
 	m.identity.address, m.identity.machineType, m.identity.zone, m.identity.spot = r.Addr, r.Type, r.Zone, r.Spot
 	m.status.incarnation = r.Incarnation
-	if r.InterruptionNoticeS == nil {
-		return
+	if r.InterruptionNoticeS != nil {
+		m.lifecycle.interruptionDeadline = interruptionDeadline(*r.InterruptionNoticeS, now)
 	}
-	notice := *r.InterruptionNoticeS
-	if notice < 0 || notice > maxInterruptionNoticeS {
-		m.lifecycle.interruptionDeadline = now + implausibleNoticeDeadline
-	} else {
-		m.lifecycle.interruptionDeadline = now + time.Duration(notice*float64(time.Second))
+}
+
+// interruptionDeadline returns when a machine is interrupted by a notice of so many seconds.
+func interruptionDeadline(noticeS float64, now time.Duration) time.Duration {
+	if noticeS < 0 || noticeS > maxInterruptionNoticeS {
+		return now + implausibleNoticeDeadline
+	}
+	return now + time.Duration(noticeS*float64(time.Second))
+}
+
+// isDescribedBy reports whether a heartbeat tells nothing new of the machine itself. taskStatusDigest, which
+// controllers exchange, covers the tasks and whether there is an interruption notice.
+func (m *machine) isDescribedBy(r *wire.Heartbeat, now time.Duration) bool {
+	if m.identity.address != r.Addr || m.identity.machineType != r.Type || m.identity.zone != r.Zone ||
+		m.identity.spot != r.Spot {
+		return false
+	}
+	if r.InterruptionNoticeS == nil {
+		return true
 	}
+	change := interruptionDeadline(*r.InterruptionNoticeS, now) - m.lifecycle.interruptionDeadline
+	return change.Abs() <= noticeTolerance
 }
 
 // updateTaskStatuses replaces the task statuses of a machine by those of a heartbeat, and acts on the changes.
--- a/core/leader.go
+++ b/core/leader.go
@@ -59,10 +59,10 @@
 	goneMachines       []string // announced with every full push
 	newlyGone          []string // announced with the next push
 	capacityHold       *CapacityHold
-	unmetJobs          int                     // jobs whose demand the last plan could not place at once
-	pendingPreemptions []PreemptedTask         // for the next push
-	lastPreemptedFor   map[int32]time.Duration // when tasks were last preempted for a job, by its index
-	failedMachines     []string                // failed machines that the cloud still lists
+	unmetJobs          int                        // jobs whose demand the last plan could not place at once
+	pendingPreemptions []PreemptedTask            // for the next push
+	lastPreemptedFor   map[int32]preemptionRecord // by the index of the job that tasks were preempted for
+	failedMachines     []string                   // failed machines that the cloud still lists
 	pushRequested      bool
 }
 
@@ -118,7 +118,7 @@
 		array:             clusterstate.NewArray(),
 		ackedBatchSeqs:    map[string]uint64{},
 		scaleOutRequests:  map[string]*scaleOutRequest{},
-		lastPreemptedFor:  map[int32]time.Duration{},
+		lastPreemptedFor:  map[int32]preemptionRecord{},
 		blockedUntil:      map[nodeGroup]time.Duration{},
 		cloudCallBudgetAt: autoscaler.now,
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -125,8 +125,7 @@
 
 // handlePeerMessage handles a message of another controller, or passes it on if it is for a third one.
 func (c *Core) handlePeerMessage(in PeerMessage) {
-	sender := c.controllers.membership.Peer(in.Peer)
-	if sender == nil {
+	if c.controllers.membership.Peer(in.Peer) == nil {
 		return
 	}
 	m := in.Message
@@ -146,7 +145,7 @@
 	c.handleQuorumMessage(from, &m)
 	if m.Health != nil {
 		c.cancelAcks.quorum.RecordHeldRevision(from, m.Health.CancellationsUpTo)
-		m.Health.applyTo(sender)
+		m.Health.applyTo(c.controllers.membership.Peer(from)) // not to a controller that only relayed it
 	}
 	c.handlePeerHeartbeats(from, &m)
 	if m.AllocationDeltas != nil {
--- a/core/preemption.go
+++ b/core/preemption.go
@@ -16,6 +16,12 @@
 	cost    time.Duration // work that may be lost: the time that the victims have been in their states
 }
 
+// preemptionRecord is the last preemption for a job, and how many of its replicas it serves.
+type preemptionRecord struct {
+	at     time.Duration
+	served int
+}
+
 // replicaPreemption is the preemption of tasks for the replicas that a packing found no machines for.
 type replicaPreemption struct {
 	*demandPacking
@@ -29,9 +35,12 @@
 func (p *replicaPreemption) run() (served int) {
 	c, d := p.core, &p.demand
 	l := c.leaderState
-	at, ok := l.lastPreemptedFor[d.job.index]
-	if d.tasks <= 0 || ok && c.now-at < c.cfg.Scheduling.PreemptionRetryInterval {
-		return max(0, d.tasks) // earlier victims are about to end
+	last, ok := l.lastPreemptedFor[d.job.index]
+	if d.tasks <= 0 {
+		return 0
+	}
+	if ok && c.now-last.at < c.cfg.Scheduling.PreemptionRetryInterval {
+		return min(d.tasks, last.served) // earlier victims are about to end
 	}
 	options := p.preemptionOptions()
 	slices.SortStableFunc(options, func(x, y preemptionOption) int { return cmp.Compare(x.cost, y.cost) })
@@ -46,7 +55,7 @@
 		served += p.placeReplicas(option.bin, d.tasks-served)
 	}
 	if served > 0 {
-		l.lastPreemptedFor[d.job.index] = c.now
+		l.lastPreemptedFor[d.job.index] = preemptionRecord{at: c.now, served: served}
 		l.pushRequested = true
 		c.log(LevelInfo, "preempting tasks", "job", d.job.id, "tasks", served)
 	}
--- a/core/suspected_faults_test.go
+++ b/core/suspected_faults_test.go
@@ -178,7 +178,7 @@
 	c.Advance(time.Second)
 	j := c.internJob("wk-1")
 	j.record = &jobrecord.Record{Spec: &wire.JobSpec{Tasks: 10, Service: true}}
-	c.leaderState.lastPreemptedFor[j.index] = c.now
+	c.leaderState.lastPreemptedFor[j.index] = preemptionRecord{at: c.now, served: 2}
 	packing := &demandPacking{
 		demand: demand{job: j, spec: j.record.Spec, tasks: 10},
 		supply: &supply{},
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -79,7 +79,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }() // what was read of it counts
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBodyBytes+1))
-	if err != nil || int64(len(raw)) > c.maxBodyBytes {
+	if err == nil && int64(len(raw)) > c.maxBodyBytes {
+		err = fmt.Errorf("more than %d bytes", c.maxBodyBytes)
+	}
+	if err != nil {
 		return Response{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
 	}
 	return Response{Status: resp.StatusCode, Sent: true, Body: raw}
