--- a/core/reservations/poison_test.go
+++ b/core/reservations/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -126,3 +127,42 @@
 	service.HeadRead()
 	expectOutcomes(t, store.commitBatch(t, service, time.Second), booking.OutcomeDone)
 }
+
+// A request that the store itself refuses, with status 400, must be answered so, and the others of its batch decided,
+// within the time that a request may wait. The whole batch was tried again and again until all of it had expired.
+func TestRequestRefusedByTheStoreIsAnsweredAlone(t *testing.T) {
+	store := newStore(t)
+	service := New()
+	store.replayTo(t, service)
+	for i := range 9 {
+		service.Enqueue(newRequest(fmt.Sprint("r", i), 1+i))
+	}
+	isPoisoned := func(response Response) bool { return response.Request.Request.ID == "r4" }
+	decided := map[string]booking.Outcome{}
+	for now := time.Duration(0); now < 6*time.Second; now += 50 * time.Millisecond {
+		if !service.HasWork(now, env(now).UnixS) {
+			continue
+		}
+		txn := service.NextTxn(env(now))
+		status, revision := wire.StatusBadRequest, uint64(0)
+		if !slices.ContainsFunc(service.inFlight.responses, isPoisoned) || len(txn.Then) == 0 {
+			status, revision = store.commit(txn)
+		}
+		responses, mustReadHead := service.HandleOutcome(status, revision)
+		if mustReadHead {
+			service.HeadRead()
+		}
+		for _, response := range responses {
+			decided[response.Request.Request.ID] = response.Outcome
+		}
+	}
+	for i := range 9 {
+		id, want := fmt.Sprint("r", i), booking.OutcomeDone
+		if i == 4 {
+			want = booking.OutcomeInvalid
+		}
+		if decided[id] != want {
+			t.Errorf("%s: %v, want %v", id, decided[id], want)
+		}
+	}
+}
