A refused write lowers limits only if its size explains it, and not for good

Symptom: after one 400 of the store a controller wrote less a transaction until its restart, and jobs that shared the refused transaction were answered 503. Cause: every 400 was taken for a smaller limit, none was raised again, and all jobs were tried again together.

--- a/core/archivesweep.go
+++ b/core/archivesweep.go
@@ -259,7 +259,7 @@
 		// Conflict, refusal or unknown outcome. With the last it may still be executed, which changes
 		// nothing that a repetition would not.
 		if status == wire.StatusBadRequest {
-			m.core.transactions.reduceLimits(&m.txn)
+			m.core.transactions.limits.handleRefusal(&m.txn)
 		}
 		for _, block := range m.blocks {
 			index.Invalidate(archive.BlockKey(block.High))
--- a/core/audit.go
+++ b/core/audit.go
@@ -150,7 +150,7 @@
 	}
 	c.transactions.commit(*txn, &pendingTxn{onDone: func(status wire.Status, reply wire.TxnResponse) {
 		if status == wire.StatusBadRequest {
-			c.transactions.reduceLimits(txn)
+			c.transactions.limits.handleRefusal(txn)
 		}
 		if c.auditLog.current().HandleBlockOutcome(status, reply.Revision) {
 			// After the next barrier the replica shows whether the block was written.
--- a/core/core.go
+++ b/core/core.go
@@ -124,6 +124,7 @@
 	c.storeHealth.environment = c.environment
 	c.transactions.environment, c.transactions.stats = c.environment, &c.Stats
 	c.transactions.inFlight = map[uint64]*pendingTxn{}
+	c.transactions.limits.environment = c.environment
 	c.transactions.rateLimit = ratelimit.New(c.now)
 	c.transactions.endBatchDelay = c.cfg.Scheduling.MinEndBatchDelay
 	c.replica = storeReplica{
--- a/core/job.go
+++ b/core/job.go
@@ -48,6 +48,9 @@
 	inExamineList  bool          // it is in jobTable.jobsToExamine
 	dirtySince     time.Duration // when it became dirty
 	nextLookAt     time.Duration // it is not examined before, although dirty
+	alone          bool          // it is written in a transaction of its own: one with others was refused
+	refusals       int           // in a row, of writes of its own, as malformed or too large
+	refusedUntil   time.Duration // after a refusal it is not written before
 	waitsForEnds   bool          // its next record only records ends of tasks and waits to share a write
 }
 
@@ -127,6 +130,7 @@
 	receivedAt          time.Duration // when it arrived here
 	deadline            time.Duration // when it is rejected if it is not accepted by then
 	writeFailed         bool          // a write of it has failed
+	refusedByStore      bool          // a write of it alone was refused for what is in it
 	lookupInFlight      bool          // its id and dependencies are being looked up in the archive
 	lookupDone          bool          // that lookup has finished
 }
--- a/core/maintenance.go
+++ b/core/maintenance.go
@@ -25,6 +25,7 @@
 		return
 	}
 	c.maintenance.nextCompactionAt = c.now + compactionInterval
+	c.transactions.limits.advance()
 	c.openJobs = slices.DeleteFunc(c.openJobs, func(candidate *job) bool {
 		if candidate.needsAttention() {
 			return false
--- a/core/requests.go
+++ b/core/requests.go
@@ -367,6 +367,8 @@
 		case status == wire.StatusCreated:
 			c.Stats.Accepted++
 			c.respond(requestID, wire.StatusCreated, c.jobState(target))
+		case status == wire.StatusBadRequest:
+			c.respond(requestID, status, wire.Error{Error: why})
 		default:
 			c.respondUnavailable(requestID, why)
 		}
--- a/core/reservations.go
+++ b/core/reservations.go
@@ -285,7 +285,7 @@
 	c.transactions.commit(*txn, &pendingTxn{onDone: func(status wire.Status, reply wire.TxnResponse) {
 		c.auditLog.current().HandleOutcome(ids, status)
 		if status == wire.StatusBadRequest && len(txn.Then) > 0 {
-			c.transactions.reduceLimits(txn)
+			c.transactions.limits.handleRefusal(txn)
 		}
 		c.reservations.service.InvalidateBlocks(reply.Failed)
 		responses, mustReadHead := c.reservations.service.HandleOutcome(status, reply.Revision)
--- a/core/reservations/batch.go
+++ b/core/reservations/batch.go
@@ -21,7 +21,7 @@
 	if len(s.queue) == 0 && !s.schedule.HasDueChanges(env.UnixS) {
 		return nil
 	}
-	for limit := min(len(s.queue), maxBatchRequests); ; limit /= 2 {
+	for limit := min(len(s.queue), s.batchLimit); ; limit /= 2 {
 		txn, fits := s.tryBatch(env, limit, math.MaxInt)
 		if fits {
 			s.queue = s.queue[len(s.inFlight.responses):]
@@ -278,7 +278,15 @@
 	if inFlight == nil {
 		return nil, false
 	}
-	if status != wire.StatusOK {
+	switch status {
+	case wire.StatusOK:
+		s.batchLimit, s.singleRefusals = min(2*s.batchLimit, maxBatchRequests), 0
+	case wire.StatusBadRequest:
+		if rejected := s.handleRefusedBatch(); rejected != nil {
+			return rejected, true
+		}
+		return nil, s.requeueInFlight(status)
+	default:
 		return nil, s.requeueInFlight(status)
 	}
 	switch {
@@ -290,6 +298,24 @@
 	return inFlight.responses, false
 }
 
+// handleRefusedBatch halves the next batch after the store refused one as malformed or too large, so that a
+// request that it does not take keeps no others from being decided. That request is rejected once it was refused
+// alone more than maxSingleRefusals times: until then a smaller limit may let it pass.
+func (s *Service) handleRefusedBatch() (rejected []Response) {
+	responses := s.inFlight.responses
+	s.batchLimit = max(1, len(responses)/2)
+	if len(responses) != 1 {
+		return nil
+	}
+	if s.singleRefusals++; s.singleRefusals <= maxSingleRefusals {
+		return nil
+	}
+	s.rollBackInFlight()
+	s.inFlight, s.singleRefusals, s.needsHeadRead = nil, 0, true
+	result := booking.Result{Outcome: booking.OutcomeInvalid, Reason: "the state service refuses to store it"}
+	return []Response{{Request: responses[0].Request, Result: result}}
+}
+
 // requeueInFlight queues the requests of a transaction that was not committed, as far as known, for
 // another decision. It reports whether the head must be read first.
 func (s *Service) requeueInFlight(status wire.Status) (mustReadHead bool) {
--- a/core/reservations/service.go
+++ b/core/reservations/service.go
@@ -45,6 +45,7 @@
 	timeCheckInterval = 500 * time.Millisecond
 
 	maxBatchRequests  = 200  // in one transaction
+	maxSingleRefusals = 2    // by the store, of a request alone, before it is rejected
 	maxQueuedRequests = 2000 // more are rejected
 
 	// spareCompares are reserved in a transaction for its last request, the head, the equipment and a
@@ -113,6 +114,8 @@
 	nextTimeCheckAt time.Duration
 	merging         bool // a MergeTxn is in flight
 	blockedByAudit  bool // the last batch would fit without audit entries
+	batchLimit      int  // requests in the next batch; fewer than maxBatchRequests after the store refused one
+	singleRefusals  int  // in a row, of a batch with one request
 }
 
 // inFlightTxn is a transaction that is being built or whose outcome is not known yet.
@@ -130,7 +133,7 @@
 
 // New returns a service without any state.
 func New() *Service {
-	s := &Service{awaitingBlock: map[string][]*PendingRequest{}}
+	s := &Service{awaitingBlock: map[string][]*PendingRequest{}, batchLimit: maxBatchRequests}
 	s.Reset()
 	return s
 }
--- a/core/transactions.go
+++ b/core/transactions.go
@@ -16,6 +16,7 @@
 
 	inFlight          map[uint64]*pendingTxn // by request ID
 	rateLimit         ratelimit.Limiter
+	limits            storeLimits
 	endBatchDelay     time.Duration // how long task ends may wait to share a write
 	nextBlockedScanAt time.Duration // when blocked jobs are scanned even if nothing can be written
 	backlog           int           // jobs that waited for a write at the last scan
@@ -43,14 +44,14 @@
 )
 
 // badRequestRetryDelay is how long a job of a transaction that the store refused as malformed or
-// too large waits for its next proposal.
+// too large waits for its next proposal, at first. It doubles with each refusal.
 const badRequestRetryDelay = time.Second
 
-// minValueBytes and minTxnOps bound how far refused transactions reduce the limits.
-const (
-	minValueBytes = 512
-	minTxnOps     = 2
-)
+// maxBadRequestDoublings bounds the delay after refusals: a minute, about.
+const maxBadRequestDoublings = 6
+
+// reasonRefusedByStore answers a submission that can't be stored.
+const reasonRefusedByStore = "the state service refuses to store it"
 
 // storeRateUtilization is the part of the store's write rate up to which a controller takes over what
 // the others leave.
@@ -77,8 +78,8 @@
 	c.storeHealth.recordStatus(in.Status)
 	c.transactions.pauseAfter(in.Status)
 	c.transactions.logFailure(in)
-	if in.Status == wire.StatusBadRequest && pending.onDone == nil { // it has no leased key
-		c.transactions.reduceLimits(&pending.txn)
+	if in.Status == wire.StatusOK {
+		c.transactions.limits.recordAccepted(&pending.txn)
 	}
 	for _, key := range in.Reply.Failed {
 		c.history.archiveIndex.Invalidate(key)
@@ -97,6 +98,10 @@
 	}
 	c.transactions.countFailure(in.Status)
 	staleJobs := c.settleProposals(pending.proposals, in)
+	// Not for a lease that ended: only transactions with onDone have leased keys.
+	if in.Status == wire.StatusBadRequest {
+		c.handleRefusedProposals(pending)
+	}
 	if stale {
 		// A controller that lost a conflict reads at once: otherwise one that writes often always wins.
 		c.replica.nextBarrierAt = c.now
@@ -104,23 +109,6 @@
 	}
 }
 
-// reduceLimits adapts to a store whose limits are smaller than configured: a refused transaction
-// is never sent again unchanged. First the number of writes shrinks, then the size of a value.
-func (s *transactionState) reduceLimits(refused *wire.Txn) {
-	largest := 0
-	for _, write := range refused.Then {
-		largest = max(largest, len(write.Value))
-	}
-	if ops := len(refused.Then); ops > minTxnOps {
-		s.cfg.Store.MaxTxnOps = max(minTxnOps, ops-1)
-	} else {
-		s.cfg.Store.MaxValueBytes = max(minValueBytes, largest*7/8)
-	}
-	s.log(LevelError, "transaction refused by the store: limits reduced",
-		"changes", len(refused.Then), "largest", largest, "txn_ops", s.cfg.Store.MaxTxnOps,
-		"value_bytes", s.cfg.Store.MaxValueBytes)
-}
-
 // canAffordCompletions reports whether enough write tokens are left to write completions, which no
 // user waits for, and still keep a reserve for writes that users do wait for.
 func (s *transactionState) canAffordCompletions(cost float64) bool {
@@ -187,6 +175,7 @@
 // A newer state, which a watch may have brought before the transaction's reply, stays.
 func (c *Core) adoptProposal(committed *proposal, revision uint64) {
 	target := committed.job
+	target.write.alone, target.write.refusals = false, 0
 	for _, assignment := range committed.ended {
 		c.releaseOnce(target, assignment)
 	}
@@ -230,12 +219,29 @@
 	}
 	// The write may be applied late, or another one won: read before proposing anything again.
 	target.write.outcomeUnknown = true
-	if status == wire.StatusBadRequest {
-		target.write.nextLookAt = c.now + badRequestRetryDelay
-	}
 	return true
 }
 
+// handleRefusedProposals handles the refusal of a transaction as malformed or too large. Its jobs are written one
+// by one from now on, so that one that is refused for what is in it keeps no other from being written. That one is
+// tried more and more seldom, and not accepted if it is new.
+func (c *Core) handleRefusedProposals(pending *pendingTxn) {
+	forContent := c.transactions.limits.handleRefusal(&pending.txn)
+	for i := range pending.proposals {
+		pending.proposals[i].job.write.alone = true
+	}
+	if len(pending.proposals) != 1 {
+		return
+	}
+	refused := pending.proposals[0].job
+	refused.write.refusals++
+	delay := badRequestRetryDelay << min(refused.write.refusals-1, maxBadRequestDoublings)
+	refused.write.refusedUntil = c.now + delay
+	if forContent && refused.submission != nil {
+		refused.submission.refusedByStore = true
+	}
+}
+
 // resolveAfterBarrier frees jobs, teams and slots for new proposals once a read barrier has shown their state.
 func (c *Core) resolveAfterBarrier(jobs []*job, teams []*team, slots []int) {
 	// Queued directly, past the checks of afterReadBarrier: while a snapshot is being loaded, it
@@ -254,8 +260,12 @@
 		for _, resolved := range jobs {
 			resolved.write.outcomeUnknown = false
 			c.markDirty(resolved)
-			if resolved.submission != nil && resolved.revision != 0 {
+			switch {
+			case resolved.submission == nil:
+			case resolved.revision != 0:
 				c.completeSubmission(resolved, wire.StatusOK, "")
+			case resolved.submission.refusedByStore:
+				c.completeSubmission(resolved, wire.StatusBadRequest, reasonRefusedByStore)
 			}
 			c.completeCancellations(resolved)
 		}
--- a/core/txnbuilder.go
+++ b/core/txnbuilder.go
@@ -66,7 +66,7 @@
 	c := b.core
 	slot := slotOf(target)
 	cost, ok := b.writeCost(target, slot)
-	if !ok || b.isFull(cost) {
+	if !ok || b.isFull(cost) || b.mustSeparate(target) {
 		return false
 	}
 	if slot >= 0 && c.replica.slots.at(slot).WriteInFlight && c.schema.active >= schemaSharedValues {
@@ -107,6 +107,11 @@
 	return true
 }
 
+// mustSeparate reports whether a job may not share the transaction, as it or the one before it is written alone.
+func (b *txnBuilder) mustSeparate(target *job) bool {
+	return len(b.proposals) > 0 && (target.write.alone || b.proposals[0].job.write.alone)
+}
+
 // slotOf is the number of a job's slot; -1 if it has none: its record is not stored yet, or is final.
 func slotOf(target *job) int {
 	if target.revision == 0 || target.record == nil || target.record.Spec == nil {
