--- a/core/scheduler.go
+++ b/core/scheduler.go
@@ -140,7 +140,8 @@
 
 // isDue reports whether a job may be written now. A job that needs no write is no longer dirty then.
 func (c *Core) isDue(j *job) bool {
-	if !j.write.dirty || j.write.inFlight || j.write.outcomeUnknown || c.now < max(j.write.nextLookAt, j.write.refusedUntil) {
+	lookAt := max(j.write.nextLookAt, j.write.refusedUntil)
+	if !j.write.dirty || j.write.inFlight || j.write.outcomeUnknown || c.now < lookAt {
 		return false
 	}
 	if j.revision != 0 && j.submission != nil {
