--- a/core/core.go
+++ b/core/core.go
@@ -67,6 +67,7 @@
 
 	overload    overload.State
 	maintenance maintenanceState
+	lateStarts  lateStartLog
 	stalls      stallDetector
 }
 
--- a/core/heartbeats.go
+++ b/core/heartbeats.go
@@ -226,6 +226,7 @@
 		c.handleTaskExit(m, j, key, status.cause)
 	case status.state == wire.TaskRunning && j.record != nil && j.record.Spec != nil:
 		m.status.images[j.record.Spec.Image] = true
+		c.noteRunning(j)
 	}
 }
 
--- a/core/job.go
+++ b/core/job.go
@@ -87,7 +87,8 @@
 	backoffUntil     time.Duration // no task of the job is placed before
 	hasUnplacedTasks bool          // there are tasks to place now
 	tasksLost        bool          // assigned tasks were lost and must be started again
-	lastPlacedMS     int64         // time of day when tasks were placed last, in ms
+	lastPlacedMS     int64         // time of day when this controller placed tasks last, in ms; 0: it did not
+	hasRun           bool          // a task was reported as running, to this process
 }
 
 const (
@@ -106,6 +107,15 @@
 	}
 }
 
+// placedAfterMS is how long after its acceptance tasks of the job were last placed, in ms; 0 if this
+// controller has placed none.
+func (j *job) placedAfterMS() int64 {
+	if j.placement.lastPlacedMS == 0 {
+		return 0
+	}
+	return j.placement.lastPlacedMS - j.record.AcceptedAtMS
+}
+
 // jobArchiveState is the eviction of an ended job from memory.
 type jobArchiveState struct {
 	counted  bool // among the ended jobs in memory whose records are not archived
--- a/core/proposal.go
+++ b/core/proposal.go
@@ -363,7 +363,7 @@
 		"team", record.Spec.Team, "tasks", record.Spec.Tasks, "tries", record.LastAttempt,
 		"estimate_s", record.Spec.EstimatedRuntimeMS/1000,
 		"took_ms", c.unixMS()-record.AcceptedAtMS,
-		"placed_ms", u.job.placement.lastPlacedMS-record.AcceptedAtMS, "why", record.StopReasons)
+		"placed_ms", u.job.placedAfterMS(), "why", record.StopReasons)
 	*record = jobrecord.Record{
 		Shard:          record.Shard,
 		Stage:          jobrecord.Done,
@@ -384,10 +384,9 @@
 	}
 	p.startsOnly = !u.changed
 	u.changed, u.urgent = true, true
-	u.job.placement.lastPlacedMS = c.unixMS()
 	c.log(LevelDebug, "tasks placed late", "job", u.job.id, "class", record.Spec.Class,
 		"tasks", len(p.assignments)-before,
-		"after_ms", u.job.placement.lastPlacedMS-record.AcceptedAtMS, "tries", record.LastAttempt,
+		"after_ms", c.unixMS()-record.AcceptedAtMS, "tries", record.LastAttempt,
 		"spread", record.Spec.Spread, "why", record.StopReasons)
 	return again
 }
--- a/core/txnbuilder.go
+++ b/core/txnbuilder.go
@@ -247,6 +247,9 @@
 func (b *txnBuilder) addProposal(next *proposal) {
 	b.chargeQuota(next)
 	b.core.priority.recordStarts(next)
+	if len(next.started) > 0 {
+		next.job.placement.lastPlacedMS = b.core.unixMS()
+	}
 	next.job.write.dirty, next.job.write.inFlight = false, true
 	b.proposals = append(b.proposals, *next)
 }
