--- a/knownred_test.go
+++ b/knownred_test.go
@@ -42,7 +42,8 @@
 			cmd := exec.CommandContext(t.Context(), "bash", ".ci/known-red", list, names)
 			cmd.Stdout, cmd.Stderr = &stdout, &stderr
 			err := cmd.Run()
-			if failed := err != nil; failed != (tt.wantError != "") || !strings.Contains(stderr.String(), tt.wantError) {
+			mustFail := tt.wantError != ""
+			if (err != nil) != mustFail || !strings.Contains(stderr.String(), tt.wantError) {
 				t.Fatalf("%v: %s, want the error %q", err, stderr.String(), tt.wantError)
 			}
 			if got := strings.TrimSpace(stdout.String()); got != tt.want {
