--- /dev/null
+++ b/review/stand/chaos.go
@@ -0,0 +1,308 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["chaos"] = chaos }
+
+// lateOrders returns how long the current direct command is held up.
+func (s *site) lateOrders() time.Duration {
+	s.recMu.Lock()
+	defer s.recMu.Unlock()
+	if rand.Float64() < s.lateShare {
+		return 2*time.Second + rand.N(8*time.Second)
+	}
+	return 0
+}
+
+type chaosState struct {
+	mu        sync.Mutex
+	cancelled map[string]time.Time // when its user was told
+}
+
+// checkStart checks the rules about where a task starts. The caller holds f.mu.
+func (f *fleet) checkStart(w *worker, p *piece) {
+	id, _, _ := strings.Cut(p.Piece, "/")
+	j, _ := f.s.spec(p.Piece)
+	if j.Yard != nil && *j.Yard != w.yard {
+		f.s.broken("wrong_place", "%s in %s", p.Piece, w.yard)
+	}
+	if w.spot && !j.Borrowed {
+		f.s.broken("wrong_place", "%s on a spot machine", p.Piece)
+	}
+	inZone := map[string]int{}
+	usage := 0.0
+	for task, machines := range f.on {
+		other, _, _ := strings.Cut(task, "/")
+		spec, _ := f.s.spec(task)
+		for name, n := range machines {
+			if n <= 0 {
+				continue
+			}
+			if spec.Crew == j.Crew {
+				usage += spec.CPUs * float64(n)
+			}
+			if other == id {
+				if wk := f.workers[name]; wk != nil {
+					inZone[wk.yard]++
+				}
+			}
+		}
+	}
+	if j.OneZone && len(inZone) > 1 {
+		f.s.broken("wrong_place", "%s runs in %v", id, inZone)
+	}
+	for zone, n := range inZone {
+		if j.Spread && n > (j.Pieces+1)/2 {
+			f.s.broken("wrong_place", "%s has %d of %d in %s", id, n, j.Pieces, zone)
+		}
+	}
+	for _, team := range f.s.cfg.teams {
+		if team["name"] == j.Crew && team["cpus_max"].(float64) > 0 && usage > team["cpus_max"].(float64)+1e-6 {
+			f.s.broken("quota", "team %s uses %v", j.Crew, usage)
+		}
+	}
+	if f.s.chaos != nil {
+		f.s.chaos.mu.Lock()
+		at, ok := f.s.chaos.cancelled[id]
+		f.s.chaos.mu.Unlock()
+		if ok {
+			f.s.record("note", "%s starts %v after its cancellation was told", p.Piece, time.Since(at))
+			if time.Since(at).Seconds() > f.s.cfg.cancelS {
+				f.s.broken("ran_cancelled", "%s starts", p.Piece)
+			}
+		}
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request, _ http.Handler) {
+	reply(w, 503, map[string]string{"error": "trouble"})
+}
+
+func hang(w http.ResponseWriter, r *http.Request, _ http.Handler) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// lost carries a share of the transactions out, at once or late, without an answer.
+func lost(share float64, late bool) func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	return func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+		if r.URL.Path != "/commit" || rand.Float64() >= share {
+			next.ServeHTTP(w, r)
+			return
+		}
+		raw, _ := io.ReadAll(r.Body)
+		do := func() {
+			again := httptest.NewRequest("POST", "/commit", bytes.NewReader(raw))
+			next.ServeHTTP(httptest.NewRecorder(), again)
+		}
+		if late {
+			time.AfterFunc(2*time.Second+rand.N(8*time.Second), do)
+		} else {
+			do()
+		}
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// chaos is a trial: random troubles, one after the other, with the rules checked at the workers and by the users.
+func chaos(record string) {
+	cfg := defaultConfig()
+	cfg.reportS, cfg.leaseS, cfg.cancelS, cfg.vary, cfg.machines = 2, 14, 28, 0.5, 60
+	cfg.types[0].CPUs, cfg.types[0].RAM = 8, 32
+	cfg.teams[1]["cpus_max"] = 24.0
+	s := newSite(record, cfg)
+	s.chaos = &chaosState{cancelled: map[string]time.Time{}}
+	s.startAll()
+	stop := time.Now().Add(85 * time.Second)
+	var mu sync.Mutex
+	var ids []string
+	var wg sync.WaitGroup
+	suva := "suva-room"
+	wg.Go(func() {
+		for i := 0; time.Now().Before(stop.Add(-25 * time.Second)); i++ {
+			j := newJob("wk-"+fmt.Sprintf("%06d", i), []string{"kiln-floor", "potter-desk"}[i%2], 1+rand.N(8), 2+20*rand.Float64())
+			switch rand.N(6) {
+			case 0:
+				j.OneZone = true
+			case 1:
+				j.Spread = true
+			case 2:
+				j.Yard = &suva
+			case 3:
+				j.Form = "daemon"
+				j.Pieces = 1 + rand.N(3)
+				j.Firing = 0
+			case 4:
+				j.Borrowed = true
+			}
+			n := s.nodes[rand.N(3)]
+			wg.Go(func() {
+				if s.submit(n, "", j) {
+					mu.Lock()
+					ids = append(ids, j.UID)
+					mu.Unlock()
+					if j.Form == "daemon" || rand.N(5) == 0 {
+						time.Sleep(rand.N(12 * time.Second))
+						for time.Now().Before(stop.Add(20 * time.Second)) {
+							status, st := s.withdraw(s.nodes[rand.N(3)], "", j.UID)
+							if status == 200 && st.Stage == "cancelled" {
+								s.chaos.mu.Lock()
+								s.chaos.cancelled[j.UID] = time.Now()
+								s.chaos.mu.Unlock()
+								return
+							}
+							if status == 200 && st.Stage == "done" {
+								return
+							}
+							if status == 404 {
+								s.broken("forgotten", "withdraw of %s answered 404", j.UID)
+								return
+							}
+							time.Sleep(time.Second)
+						}
+					}
+				}
+			})
+			time.Sleep(600*time.Millisecond + rand.N(400*time.Millisecond))
+		}
+	})
+	for range 6 { // polls
+		wg.Go(func() {
+			for time.Now().Before(stop.Add(25 * time.Second)) {
+				mu.Lock()
+				if len(ids) == 0 {
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				id := ids[rand.N(len(ids))]
+				mu.Unlock()
+				s.chaos.mu.Lock()
+				_, toldCancelled := s.chaos.cancelled[id]
+				s.chaos.mu.Unlock()
+				status, st := s.poll(s.nodes[rand.N(3)], "", id)
+				if status == 404 {
+					s.broken("forgotten", "%s answered 404", id)
+				}
+				if status == 200 {
+					if toldCancelled && st.Stage != "cancelled" {
+						s.broken("went_back", "%s was cancelled, is %+v", id, st)
+					}
+					if st.Stage == "done" {
+						j, _ := s.spec(id)
+						s.fleet.mu.Lock()
+						for p := range j.Pieces {
+							if !s.fleet.done[id+"/"+strconv.Itoa(p)] {
+								s.broken("not_done", "%s/%d", id, p)
+							}
+						}
+						s.fleet.mu.Unlock()
+					}
+				}
+				time.Sleep(rand.N(200 * time.Millisecond))
+			}
+		})
+	}
+	wg.Go(func() { // cancelled tasks
+		for time.Now().Before(stop.Add(28 * time.Second)) {
+			s.chaos.mu.Lock()
+			s.fleet.mu.Lock()
+			for task, machines := range s.fleet.on {
+				id, _, _ := strings.Cut(task, "/")
+				at, ok := s.chaos.cancelled[id]
+				for name, n := range machines {
+					if ok && n > 0 && time.Since(at).Seconds() > s.cfg.cancelS {
+						s.broken("ran_cancelled", "%s is on %s %v after", task, name, time.Since(at))
+					}
+				}
+			}
+			s.fleet.mu.Unlock()
+			s.chaos.mu.Unlock()
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	time.Sleep(4 * time.Second)
+	for time.Now().Before(stop) {
+		n := s.nodes[rand.N(3)]
+		for_ := 2*time.Second + rand.N(10*time.Second)
+		kind := rand.N(11)
+		s.record("trouble", "%d %s for %v", kind, n.name, for_)
+		switch kind {
+		case 0:
+			n.kill()
+			time.Sleep(rand.N(3 * time.Second))
+			n.start()
+		case 1:
+			n.signal(syscall.SIGSTOP)
+			time.Sleep(for_)
+			n.signal(syscall.SIGCONT)
+		case 2:
+			n.storeProxy.set(refuse)
+			time.Sleep(for_)
+			n.storeProxy.set(nil)
+		case 3:
+			n.storeProxy.set(lost(0.4, false))
+			time.Sleep(for_)
+			n.storeProxy.set(nil)
+		case 4:
+			n.storeProxy.set(lost(0.4, true))
+			time.Sleep(for_)
+			n.storeProxy.set(nil)
+		case 5:
+			s.store.SetDown(true)
+			time.Sleep(for_)
+			s.store.SetDown(false)
+		case 6:
+			s.recMu.Lock()
+			s.lateShare = 0.4
+			s.recMu.Unlock()
+			time.Sleep(for_)
+			s.recMu.Lock()
+			s.lateShare = 0
+			s.recMu.Unlock()
+		case 7, 8:
+			for _, wk := range s.fleet.all() {
+				if rand.N(3) == 0 {
+					wk.mu.Lock()
+					if kind == 7 {
+						wk.deafUntil = time.Now().Add(for_)
+					} else {
+						wk.frozenUntil = time.Now().Add(for_)
+					}
+					wk.mu.Unlock()
+				}
+			}
+			time.Sleep(for_ / 2)
+		case 9:
+			for _, m := range s.nodes {
+				m.kill()
+			}
+			time.Sleep(rand.N(2 * time.Second))
+			for _, m := range s.nodes {
+				m.start()
+			}
+		case 10:
+			n.storeProxy.set(hang)
+			time.Sleep(for_)
+			n.storeProxy.set(nil)
+		}
+		time.Sleep(rand.N(2 * time.Second))
+	}
+	wg.Wait()
+	s.finish()
+}
