review: the start commands of a large array of small tasks exceed a request

Cause: all commands for a machine go into one request to its worker, of whatever length. From some 1,260 starts on it exceeds the 64 KiB that the protocol allows. The worker refuses it, and the same request is sent again for ever.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -216,6 +216,7 @@
 // tiny: an array of small tasks, of which more than 1,260 fit one machine. The disruption is the size of the array.
 func tiny(record string) {
 	cfg := defaultConfig()
+	cfg.machines = 1
 	cfg.types = []machineType{{
 		Sku: "g8", CPUs: 96, Cards: 8, RAM: 768, Local: 200, Pull: 1, Price: 12, LowPrice: 4.5, StartupS: 3,
 		Yards: []string{"suva-room", "nadi-room"},
