--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -71,6 +71,7 @@
 	rps, writeRPS            float64
 	valueKB                  float64
 	txnOps                   int
+	cache                    bool    // machines keep the images that they have run
 	vary                     float64 // how wrong estimates are
 }
 
--- a/review/stand/workers.go
+++ b/review/stand/workers.go
@@ -91,6 +91,7 @@
 	answeredSent time.Time // when the last answered report was sent
 	up           bool
 	node         int
+	images       map[string]bool
 	deafUntil    time.Time // answers to its reports and to orders are lost until then
 	frozenUntil  time.Time // it hangs until then
 }
@@ -196,6 +197,7 @@
 		wk := &worker{
 			fleet: f, name: fmt.Sprintf("m-%06d", f.last), kiln: *kiln, yard: in.Yard, spot: in.Borrowed,
 			rented: time.Now(), shift: 1, changed: make(chan struct{}, 1), node: f.last,
+			images: map[string]bool{},
 		}
 		wk.bootAt = wk.rented.Add(time.Duration(kiln.StartupS * float64(time.Second)))
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -584,13 +586,18 @@
 		return
 	}
 	shift := w.shift
-	time.AfterFunc(200*time.Millisecond, func() {
+	pull := 200 * time.Millisecond
+	if w.fleet.s.cfg.cache && w.images[spec.Mould] {
+		pull = 0 // it has the image
+	}
+	time.AfterFunc(pull, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.ctx.Err() != nil || w.shift != shift || p.Stage != "pulling" {
 			return
 		}
 		p.Stage = "running"
+		w.images[spec.Mould] = true
 		w.enter(p)
 		w.trigger()
 		if spec.Form == "daemon" {
