review: one person's valid token acts as another's

Cause: a verified token is remembered under text that lies in the memory of the request. A later header of the same length overwrites that text and is found as known, so its sender is taken for the former caller.

Change: case 1.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,6 +7,6 @@
 	echo "could not run: build target/dewlift, then run review/build.sh"
 	exit 2
 fi
-timeout --kill-after=2 118 target/review/stand booking "$here/record.txt"
+timeout --kill-after=2 118 target/review/stand identity "$here/record.txt"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
