--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -70,9 +71,14 @@
 	rps, writeRPS            float64
 	valueKB                  float64
 	txnOps                   int
-	lateReports              float64 // share of reports of which a copy arrives again
-	cache                    bool    // machines keep the images that they have run
-	vary                     float64 // how wrong estimates are
+	lateReports              float64        // share of reports of which a copy arrives again
+	cache                    bool           // machines keep the images that they have run
+	vary                     float64        // how wrong estimates are
+	lagS                     float64        // of the list of machines, as the settings say it; 0: 1
+	limit                    time.Duration  // of the whole run; 0: that of a case
+	next                     map[string]any // limits of the state service to come
+	tuning                   string         // operators' settings in place of those of the deploy file
+	linked                   bool           // controllers reach each other through proxies
 }
 
 func defaultConfig() siteConfig {
@@ -108,7 +114,8 @@
 	nodes     []*node
 	spare     []*node // not in the cluster yet
 	cloud     string
-	lateShare float64 // of the direct commands that are held up
+	links     map[string]*link // by address
+	lateShare float64          // of the direct commands that are held up
 	chaos     *chaosState
 }
 
@@ -119,6 +126,7 @@
 	store                   string // address of its proxy to the state service
 	root                    string // of the repository of another version; "": this one
 	storeProxy              *httpProxy
+	peerAddr                map[string]string // by peer: address of the proxy to it
 	mu                      sync.Mutex
 	cmd                     *exec.Cmd
 	ended                   chan struct{}
@@ -220,8 +228,9 @@
 	if err != nil {
 		unable("%v", err)
 	}
-	s := &site{cfg: cfg, root: root, begun: time.Now(), jobs: map[string]job{}}
-	s.ctx, s.cancel = context.WithTimeout(context.Background(), 118*time.Second)
+	s := &site{cfg: cfg, root: root, begun: time.Now(), jobs: map[string]job{}, links: map[string]*link{}}
+	limit := cmp.Or(cfg.limit, 118*time.Second)
+	s.ctx, s.cancel = context.WithTimeout(context.Background(), limit)
 	if s.rec, err = os.Create(recordPath); err != nil {
 		unable("%v", err)
 	}
@@ -259,8 +268,18 @@
 	peers := []map[string]string{}
 	for k, other := range cluster {
 		if k != i {
+			endpoint := other.mesh
+			if cfg.linked {
+				if n.peerAddr == nil {
+					n.peerAddr = map[string]string{}
+				}
+				if n.peerAddr[other.name] == "" {
+					n.peerAddr[other.name] = newLink(s, other.mesh)
+				}
+				endpoint = n.peerAddr[other.name]
+			}
 			peers = append(peers, map[string]string{
-				"node_name": other.name, "zone": zones[k%2], "endpoint": other.mesh,
+				"node_name": other.name, "zone": zones[k%2], "endpoint": endpoint,
 			})
 		}
 	}
@@ -279,11 +298,14 @@
 			"state": map[string]any{
 				"rps": cfg.rps, "write_rps": cfg.writeRPS, "value_kb": cfg.valueKB, "txn_ops": cfg.txnOps,
 			},
-			"cloud":         map[string]float64{"rps": 4, "list_lag_s": 1},
+			"cloud":         map[string]float64{"rps": 4, "list_lag_s": cmp.Or(cfg.lagS, 1)},
 			"quota":         map[string]any{"core_share": 0.3, "mem_mb": 179.0, "fd_limit": 3500},
 			"time_bound_ms": 5.0,
 		},
 	}
+	if cfg.next != nil {
+		conf["cluster"].(map[string]any)["state"].(map[string]any)["next"] = cfg.next
+	}
 	raw, _ := json.MarshalIndent(conf, "", "  ")
 	n.conf = filepath.Join(s.dir, n.name+".json")
 	if err := os.WriteFile(n.conf, raw, 0o600); err != nil {
@@ -315,6 +337,14 @@
 		unable("deploy/service.toml has no run line")
 	}
 	words := append(strings.Fields(string(match[1])), n.conf)
+	for i := range words {
+		if words[i] == "--tuning" && n.s.cfg.tuning != "" {
+			words[i+1] = filepath.Join(n.s.dir, "tuning.textproto")
+			if err := os.WriteFile(words[i+1], []byte(n.s.cfg.tuning), 0o600); err != nil {
+				unable("%v", err)
+			}
+		}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.log == nil {
--- a/review/stand/trial_chaos.go
+++ b/review/stand/trial_chaos.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -36,6 +37,8 @@
 type chaosState struct {
 	mu        sync.Mutex
 	cancelled map[string]time.Time // when its user was told
+	asked     map[string]bool      // its user asked to cancel it
+	done      map[string]bool      // its user was told that it is done
 }
 
 // checkStart checks the rules about where a task starts. The caller holds f.mu.
@@ -80,8 +83,12 @@
 			f.s.broken("quota", "team %s uses %v", j.Crew, usage)
 		}
 	}
+	f.checkAwaits(p)
 	if f.s.chaos != nil {
 		f.s.chaos.mu.Lock()
+		if f.s.chaos.done[id] {
+			f.s.broken("starts after its job was called done", "%s", p.Piece)
+		}
 		at, ok := f.s.chaos.cancelled[id]
 		f.s.chaos.mu.Unlock()
 		if ok {
@@ -93,6 +100,61 @@
 	}
 }
 
+// checkAwaits checks that the jobs that a task's job needs are done. The caller holds f.mu.
+func (f *fleet) checkAwaits(p *piece) {
+	j, _ := f.s.spec(p.Piece)
+	for _, id := range j.Awaits {
+		needed, _ := f.s.spec(id)
+		for k := range needed.Pieces {
+			if !f.done[id+"/"+strconv.Itoa(k)] {
+				f.s.broken("too_early", "%s starts before %s/%d is done", p.Piece, id, k)
+				return
+			}
+		}
+	}
+}
+
+// batchOnly returns the jobs that are no services.
+func (s *site) batchOnly(ids []string) (out []string) {
+	for _, id := range ids {
+		if j, ok := s.spec(id); ok && j.Form == "batch" {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// orphan reports whether the user of a job before this one was told more than cancel_s ago that it is cancelled.
+func (s *site) orphan(id string, now time.Time) bool {
+	j, _ := s.spec(id)
+	for _, before := range j.Awaits {
+		s.chaos.mu.Lock()
+		at, ok := s.chaos.cancelled[before]
+		s.chaos.mu.Unlock()
+		if ok && now.Sub(at).Seconds() > s.cfg.cancelS || s.orphan(before, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeCancelled reports whether the user of this job, or of one before it, has asked to cancel it.
+func (s *site) mayBeCancelled(id string) bool {
+	s.chaos.mu.Lock()
+	asked := s.chaos.asked[id]
+	s.chaos.mu.Unlock()
+	if asked {
+		return true
+	}
+	j, _ := s.spec(id)
+	for _, before := range j.Awaits {
+		if s.mayBeCancelled(before) {
+			return true
+		}
+	}
+	return false
+}
+
 // refuse answers 503.
 func refuse(w http.ResponseWriter, _ *http.Request, _ http.Handler) {
 	reply(w, 503, map[string]string{"error": "trouble"})
@@ -126,14 +188,61 @@
 	}
 }
 
+// askAgain submits jobs again and cancels jobs that are done, until a time.
+func (s *site) askAgain(stop time.Time, mu *sync.Mutex, ids *[]string) {
+	for time.Now().Before(stop.Add(20 * time.Second)) {
+		time.Sleep(rand.N(300 * time.Millisecond))
+		mu.Lock()
+		if len(*ids) == 0 {
+			mu.Unlock()
+			continue
+		}
+		id := (*ids)[rand.N(len(*ids))]
+		mu.Unlock()
+		s.chaos.mu.Lock()
+		done := s.chaos.done[id]
+		_, cancelled := s.chaos.cancelled[id]
+		s.chaos.mu.Unlock()
+		n := s.nodes[rand.N(len(s.nodes))]
+		if done && rand.N(2) == 0 {
+			if status, st := s.withdraw(n, "", id); status == 404 || status == 200 && st.Stage != "done" {
+				s.broken("went_back", "withdraw of %s, which is done, is answered %d %+v", id, status, st)
+			}
+			continue
+		}
+		j, _ := s.spec(id)
+		status, body := s.call(5*time.Second, "POST", n.serve, "/v1/jobs", "", j)
+		s.record("user", "submit %s again to %s: %d %s", id, n.name, status, bytes.TrimSpace(body))
+		var st state
+		_ = json.Unmarshal(body, &st)
+		if status == 201 || status == 400 || status == 404 || status == 422 {
+			s.broken("forgotten", "%s submitted again is answered %d", id, status)
+		}
+		if status == 200 && (done && st.Stage != "done" || cancelled && st.Stage != "cancelled") {
+			s.broken("went_back", "%s submitted again is answered %+v", id, st)
+		}
+	}
+}
+
 // chaos is a trial: random troubles, one after the other, with the rules checked at the workers and by the users.
 func chaos(record string) {
 	cfg := defaultConfig()
 	cfg.reportS, cfg.leaseS, cfg.cancelS, cfg.vary, cfg.machines = 2, 14, 28, 0.5, 60
 	cfg.types[0].CPUs, cfg.types[0].RAM = 8, 32
 	cfg.teams[1]["cpus_max"] = 24.0
+	switch os.Args[1] {
+	case "cuts":
+		cfg.nodes, cfg.linked = 5, true
+	case "limits":
+		cfg.next = nextLimits()
+	case "archives":
+		cfg.tuning = "archive: true\nshared_values: true\nrise_ms: 90000\nended_kept: 10\nhistory_wait_ms: 0\n"
+	}
 	s := newSite(record, cfg)
-	s.chaos = &chaosState{cancelled: map[string]time.Time{}}
+	s.chaos = &chaosState{cancelled: map[string]time.Time{}, asked: map[string]bool{}, done: map[string]bool{}}
+	linked, limits := os.Args[1] == "cuts", os.Args[1] == "limits"
+	archives := os.Args[1] == "archives"
+	awaits := linked || limits || archives
 	// The trial "upgrade" begins with the version in production, built in the folder that OLD names.
 	upgrades := os.Args[1] == "upgrade"
 	for _, n := range s.nodes {
@@ -165,7 +274,23 @@
 			case 4:
 				j.Borrowed = true
 			}
-			n := s.nodes[rand.N(3)]
+			n := s.nodes[rand.N(len(s.nodes))]
+			if limits && rand.N(4) == 0 {
+				j.Pieces, j.CPUs, j.RAM = 50+rand.N(150), 0.5, 0.5
+			}
+			if awaits && j.Form == "batch" && rand.N(2) == 0 {
+				mu.Lock()
+				for range 1 + rand.N(2) {
+					if len(ids) > 0 {
+						j.Awaits = append(j.Awaits, ids[max(0, len(ids)-1-rand.N(6))])
+					}
+				}
+				mu.Unlock()
+				j.Awaits = s.batchOnly(j.Awaits)
+			}
+			if archives && rand.N(8) > 0 {
+				j.Form, j.Firing, j.Pieces = "batch", 0.5+2*rand.Float64(), 1+rand.N(2)
+			}
 			wg.Go(func() {
 				if s.submit(n, "", j) {
 					mu.Lock()
@@ -173,8 +298,11 @@
 					mu.Unlock()
 					if j.Form == "daemon" || rand.N(5) == 0 {
 						time.Sleep(rand.N(12 * time.Second))
+						s.chaos.mu.Lock()
+						s.chaos.asked[j.UID] = true
+						s.chaos.mu.Unlock()
 						for time.Now().Before(stop.Add(20 * time.Second)) {
-							status, st := s.withdraw(s.nodes[rand.N(3)], "", j.UID)
+							status, st := s.withdraw(s.nodes[rand.N(len(s.nodes))], "", j.UID)
 							if status == 200 && st.Stage == "cancelled" {
 								s.chaos.mu.Lock()
 								s.chaos.cancelled[j.UID] = time.Now()
@@ -193,6 +321,10 @@
 					}
 				}
 			})
+			if archives {
+				time.Sleep(rand.N(400 * time.Millisecond))
+				continue
+			}
 			time.Sleep(600*time.Millisecond + rand.N(400*time.Millisecond))
 		}
 	})
@@ -210,7 +342,11 @@
 				s.chaos.mu.Lock()
 				_, toldCancelled := s.chaos.cancelled[id]
 				s.chaos.mu.Unlock()
-				status, st := s.poll(s.nodes[rand.N(3)], "", id)
+				s.chaos.mu.Lock()
+				toldDone := s.chaos.done[id]
+				s.chaos.mu.Unlock()
+				orphan := s.orphan(id, time.Now())
+				status, st := s.poll(s.nodes[rand.N(len(s.nodes))], "", id)
 				if status == 404 {
 					s.broken("forgotten", "%s answered 404", id)
 				}
@@ -218,6 +354,20 @@
 					if toldCancelled && st.Stage != "cancelled" {
 						s.broken("went_back", "%s was cancelled, is %+v", id, st)
 					}
+					if toldDone && st.Stage != "done" {
+						s.broken("went_back", "%s was done, is %+v", id, st)
+					}
+					if st.Stage == "done" {
+						s.chaos.mu.Lock()
+						s.chaos.done[id] = true
+						s.chaos.mu.Unlock()
+					}
+					if orphan && (st.Stage == "queued" || st.Stage == "running") {
+						s.broken("orphaned", "%s is %+v", id, st)
+					}
+					if st.Stage == "cancelled" && !s.mayBeCancelled(id) {
+						s.broken("went_back", "%s is called cancelled, and nobody asked for it", id)
+					}
 					if st.Stage == "done" {
 						j, _ := s.spec(id)
 						s.fleet.mu.Lock()
@@ -233,6 +383,9 @@
 			}
 		})
 	}
+	if archives {
+		wg.Go(func() { s.askAgain(stop, &mu, &ids) })
+	}
 	wg.Go(func() { // cancelled tasks
 		for time.Now().Before(stop.Add(28 * time.Second)) {
 			s.fleet.mu.Lock()
@@ -252,6 +405,9 @@
 		}
 	})
 	time.Sleep(4 * time.Second)
+	if limits {
+		time.AfterFunc(10*time.Second+rand.N(40*time.Second), s.lowerLimits)
+	}
 	if upgrades {
 		time.Sleep(8 * time.Second)
 		for _, i := range rand.Perm(3) {
@@ -269,7 +425,11 @@
 		time.Sleep(time.Until(stop))
 	}
 	for time.Now().Before(stop) {
-		n := s.nodes[rand.N(3)]
+		if linked && rand.N(2) == 0 {
+			s.cutTrouble()
+			continue
+		}
+		n := s.nodes[rand.N(len(s.nodes))]
 		length := 2*time.Second + rand.N(10*time.Second)
 		kind := rand.N(11)
 		s.record("trouble", "%d %s for %v", kind, n.name, length)
@@ -335,5 +495,18 @@
 		time.Sleep(rand.N(2 * time.Second))
 	}
 	wg.Wait()
+	stages := map[string]int{}
+	for _, id := range ids {
+		status, st := s.poll(s.nodes[0], "", id)
+		if status != 200 {
+			st.Stage = strconv.Itoa(status)
+		}
+		stages[st.Stage]++
+		if st.Stage != "done" && st.Stage != "cancelled" {
+			j, _ := s.spec(id)
+			s.record("note", "at the end: %+v %+v", st, j)
+		}
+	}
+	s.record("note", "at the end: %v", stages)
 	s.finish()
 }
