api: a token identifies its own holder only; values of a request are copies

Cause: the cache of verified tokens had the token's text as its key, a part of a header whose memory fiber uses again for a later request of the same length. That request changed the key in place and found itself verified.

For the class, fiber's Immutable makes every value that a handler gets a copy, in place of 15 copies by hand.

--- a/api/api.go
+++ b/api/api.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,7 +136,7 @@
 
 // recordDenied logs a request that failed authentication and keeps it for the audit log.
 func (s *Server) recordDenied(c fiber.Ctx, status int, reason string) {
-	path := strings.Clone(c.Path()) // fiber reuses request memory
+	path := c.Path()
 	s.log.Info("request denied", "path", path, "status", status, "why", reason)
 	s.deniedMu.Lock()
 	defer s.deniedMu.Unlock()
--- a/api/authenticator.go
+++ b/api/authenticator.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"crypto/sha256"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,11 +21,17 @@
 type authenticator struct {
 	policy          atomic.Pointer[access.Policy] // nil means that requests are not authenticated
 	clockErrorBound time.Duration
-	verifiedTokens  *lru.Cache[string, verifiedToken]
+	verifiedTokens  *lru.Cache[tokenDigest, verifiedToken]
 	mu              sync.Mutex               // guards verifyLimiters
 	verifyLimiters  map[string]*rate.Limiter // by key id
 }
 
+// tokenDigest identifies a token in the cache. It is a value of its own, so no later request can change it, and it
+// keeps valid tokens out of the process's memory.
+type tokenDigest [sha256.Size]byte
+
+func digestToken(token string) tokenDigest { return sha256.Sum256([]byte(token)) }
+
 type verifiedToken struct {
 	key        *access.Key
 	validUntil time.Time
@@ -36,7 +43,7 @@
 )
 
 func newAuthenticator(clockErrorBound time.Duration) *authenticator {
-	tokens, err := lru.New[string, verifiedToken](maxVerifiedTokens)
+	tokens, err := lru.New[tokenDigest, verifiedToken](maxVerifiedTokens)
 	if err != nil {
 		panic(err) // unreachable: the size is a positive constant
 	}
@@ -75,16 +82,17 @@
 	if !strings.EqualFold(scheme, "Bearer") || token == "" {
 		return core.Credential{}, fiber.StatusUnauthorized, "a token is needed"
 	}
-	if key := a.cachedKey(policy, token, now); key != nil {
+	digest := digestToken(token)
+	if key := a.cachedKey(policy, digest, now); key != nil {
 		return core.Credential{Identity: key.Holder, KeyID: key.ID}, 0, ""
 	}
-	return a.verifyToken(policy, token, now)
+	return a.verifyToken(policy, token, digest, now)
 }
 
 // cachedKey returns the key of a token that was verified before. It returns nil if the token is not cached,
 // has expired, or was signed with a key that has since been removed or replaced.
-func (a *authenticator) cachedKey(policy *access.Policy, token string, now time.Time) *access.Key {
-	verified, ok := a.verifiedTokens.Get(token)
+func (a *authenticator) cachedKey(policy *access.Policy, digest tokenDigest, now time.Time) *access.Key {
+	verified, ok := a.verifiedTokens.Get(digest)
 	if !ok {
 		return nil
 	}
@@ -93,14 +101,16 @@
 		now.Before(verified.validUntil) {
 		return key
 	}
-	a.verifiedTokens.Remove(token)
+	a.verifiedTokens.Remove(digest)
 	return nil
 }
 
-// verifyToken verifies a token's signature and validity period, within the rate limit of its key.
+// verifyToken verifies a token's signature and validity period, within the rate limit of its key, and caches the
+// result under the token's digest.
 func (a *authenticator) verifyToken(
 	policy *access.Policy,
 	token string,
+	digest tokenDigest,
 	now time.Time,
 ) (caller core.Credential, status int, reason string) {
 	id, ok := access.PeekKeyID(token)
@@ -114,7 +124,7 @@
 	if err != nil {
 		return core.Credential{}, fiber.StatusUnauthorized, access.ErrInvalidToken.Error()
 	}
-	a.verifiedTokens.Add(token, verifiedToken{key, validUntil})
+	a.verifiedTokens.Add(digest, verifiedToken{key, validUntil})
 	return core.Credential{Identity: key.Holder, KeyID: key.ID}, 0, ""
 }
 
--- a/api/queue.go
+++ b/api/queue.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"strconv"
-	"strings"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -22,7 +21,7 @@
 func (s *Server) addQueueRoutes(app *fiber.App) {
 	app.Get(wire.PathQueue, s.queueQuery(parseQueuePage))
 	app.Get(wire.PathQueue+"/:id", s.queueQuery(func(c fiber.Ctx, in *core.ListQueue) error {
-		in.ID = strings.Clone(c.Params("id"))
+		in.ID = c.Params("id")
 		return nil
 	}))
 	app.Get(wire.PathPriorityClasses, s.queueQuery(func(_ fiber.Ctx, in *core.ListQueue) error {
--- a/api/reservation.go
+++ b/api/reservation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"strings"
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
@@ -37,7 +36,7 @@
 func (s *Server) addReservationRoutes(app *fiber.App) {
 	app.Get(wire.PathReservations, s.reservationQuery(parseReservationList))
 	app.Get(wire.PathReservations+"/:id", s.reservationQuery(func(c fiber.Ctx, query *wire.ReservationQuery) error {
-		query.ID = strings.Clone(c.Params("id"))
+		query.ID = c.Params("id")
 		return nil
 	}))
 	app.Get(wire.PathEquipment, s.reservationQuery(func(fiber.Ctx, *wire.ReservationQuery) error { return nil }))
@@ -66,16 +65,15 @@
 	})
 }
 
-// parseReservationList parses a query for a day, the waitlist or free intervals. It clones strings, as
-// fiber reuses request memory.
+// parseReservationList parses a query for a day, the waitlist or free intervals.
 func parseReservationList(c fiber.Ctx, query *wire.ReservationQuery) error {
-	query.Day = strings.Clone(c.Query("day"))
-	query.Equipment = strings.Clone(c.Query("piece"))
-	query.Kind = strings.Clone(c.Query("kind"))
-	query.Zone = strings.Clone(c.Query("zone"))
-	query.Team = strings.Clone(c.Query("team"))
-	query.From = strings.Clone(c.Query("from"))
-	query.Before = strings.Clone(c.Query("by"))
+	query.Day = c.Query("day")
+	query.Equipment = c.Query("piece")
+	query.Kind = c.Query("kind")
+	query.Zone = c.Query("zone")
+	query.Team = c.Query("team")
+	query.From = c.Query("from")
+	query.Before = c.Query("by")
 	query.Waiting, query.FreeSlots = c.Query("list") == "waiting", c.Query("list") == "free"
 	if query.Day == "" && !query.Waiting && !query.FreeSlots {
 		return errors.New("list: want waiting or free, or a day with a piece")
@@ -113,7 +111,7 @@
 			}
 		}
 		if id := c.Params("id"); id != "" {
-			in.Request.ID = strings.Clone(id)
+			in.Request.ID = id
 		}
 		return s.handleInput(c, userResponseTimeout, func(requestID uint64) core.Input {
 			in.RequestID = requestID
--- a/api/routes.go
+++ b/api/routes.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -15,10 +14,13 @@
 	"dewlift/wire"
 )
 
-// newApp builds the application with all routes.
+// newApp builds the application with all routes. Immutable makes fiber return copies of all values of a request.
+// Without it they share memory that later requests overwrite, while inputs of the core, denied requests and cached
+// values outlive their request.
 func (s *Server) newApp() *fiber.App {
 	app := fiber.New(fiber.Config{
 		AppName:         "dewlift",
+		Immutable:       true,
 		BodyLimit:       wire.MaxBodyBytes,
 		ReadBufferSize:  8 << 10,
 		WriteBufferSize: 4 << 10,
@@ -77,7 +79,7 @@
 }
 
 func (s *Server) readAudit(c fiber.Ctx, caller core.Credential) error {
-	in := core.ReadAudit{Caller: caller, Controller: strings.Clone(c.Query("node"))}
+	in := core.ReadAudit{Caller: caller, Controller: c.Query("node")}
 	if after := c.Query("after"); after != "" {
 		var err error
 		if in.AfterBlock, err = strconv.ParseUint(after, 10, 64); err != nil {
@@ -97,7 +99,7 @@
 }
 
 func (s *Server) updatePermissions(c fiber.Ctx, caller core.Credential) error {
-	in := core.UpdatePermissions{Caller: caller, Identity: strings.Clone(c.Params("who"))}
+	in := core.UpdatePermissions{Caller: caller, Identity: c.Params("who")}
 	if err := json.Unmarshal(c.Body(), &in.Edit); err != nil {
 		return badRequest(c, "not a change of rights: "+err.Error())
 	}
@@ -124,14 +126,14 @@
 }
 
 func (s *Server) getJob(c fiber.Ctx, caller core.Credential) error {
-	id := strings.Clone(c.Params("id"))
+	id := c.Params("id")
 	return s.handleInput(c, userResponseTimeout, func(requestID uint64) core.Input {
 		return core.GetJob{RequestID: requestID, ID: id, Caller: caller}
 	})
 }
 
 func (s *Server) cancelJob(c fiber.Ctx, caller core.Credential) error {
-	id := strings.Clone(c.Params("id"))
+	id := c.Params("id")
 	now := time.Now().UnixMilli()
 	return s.handleInput(c, userResponseTimeout, func(requestID uint64) core.Input {
 		return core.CancelJob{RequestID: requestID, ID: id, UnixMS: now, Caller: caller}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -193,3 +193,28 @@
 		t.Error("invalid message not logged")
 	}
 }
+
+// A message outlives the read of its line, and must keep its values while later lines are read into the same memory.
+func TestMessagesKeepTheirValues(t *testing.T) {
+	m := New("n0", map[string]string{"n1": "127.0.0.1:1"}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	const messages = 2000
+	var lines strings.Builder
+	for i := range messages {
+		fmt.Fprintf(&lines, `{"w":["m-%06d"],"c":[{"k":"wk-%06d","data":{"by":"m-%06d"}}]}`+"\n", i, i, i)
+	}
+	var received []core.Message
+	m.readMessages("n1", iotest.HalfReader(strings.NewReader(lines.String())), func(_ string, message core.Message) {
+		received = append(received, message)
+	})
+	if len(received) != messages {
+		t.Fatalf("%d of %d messages received", len(received), messages)
+	}
+	for i, message := range received {
+		machine, job := fmt.Sprintf("m-%06d", i), fmt.Sprintf("wk-%06d", i)
+		cancellation := message.Cancellations[0]
+		if message.WantedHeartbeats[0] != machine || cancellation.Key != job ||
+			string(cancellation.Value) != fmt.Sprintf(`{"by":%q}`, machine) {
+			t.Errorf("message %d is now %+v", i, message)
+		}
+	}
+}
