--- a/api/request_memory_test.go
+++ b/api/request_memory_test.go
@@ -230,7 +230,8 @@
 			for i := range requestsPerWorker {
 				marker := fmt.Sprintf("m%07d", worker*requestsPerWorker+i)
 				template := markedRequests[random.IntN(len(markedRequests))]
-				path, body := strings.ReplaceAll(template.path, "$", marker), strings.ReplaceAll(template.body, "$", marker)
+				path := strings.ReplaceAll(template.path, "$", marker)
+				body := strings.ReplaceAll(template.body, "$", marker)
 				status, raw := send(client, template.method, base+path, tokens[random.IntN(2)].header, body)
 				found := markerPattern.FindAllString(string(raw), -1)
 				if status != http.StatusOK || len(found) == 0 {
--- a/controller_callers_test.go
+++ b/controller_callers_test.go
@@ -42,7 +42,8 @@
 				grants { verbs: submit verbs: read verbs: cancel teams: "t" classes: %[1]q }
 				grants { verbs: book verbs: read teams: %[1]q classes: "*" }
 			}
-			identities { name: %[1]q roles: %[1]q keys { id: %[2]q ed25519: %[3]q } }`, name, key.ID, key.PublicBase64())
+			identities { name: %[1]q roles: %[1]q keys { id: %[2]q ed25519: %[3]q } }`,
+			name, key.ID, key.PublicBase64())
 	}
 	policy, err := access.Parse([]byte(text))
 	if err != nil {
