booking: rules and dates are checked where they enter, and evaluated in bounded steps

Cause: ExpandRecurrence handed an unchecked date and rule to package rrule, in the event loop and before any permission was asked for. Rules of a stored list were evaluated as little before.

Why it works: parseRecurrence is the one way in for rules and bounds every part; times have a year from 2000 to 2099. Searches, and what one batch decides, end after a number of look-ups, at the same point on every controller. A stored item that is invalid now is out of use and named in the log; the others serve. Permissions come before the evaluation of dates, series and lists.

Tests changed: TestUnstorableReservationIsRefusedAtOnce sends its list with a caller who may set one, as lists of others are not parsed any more; the check is the same. responsesAndWrites has a constant in place of a parameter that was always equal.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -48,6 +48,15 @@
 	return at
 }
 
+// expandSeries expands a want by the text of a rule.
+func expandSeries(inventory *Inventory, want *pb.Want, rule string) ([]*pb.Want, error) {
+	series, err := ParseSeriesRule(rule)
+	if err != nil {
+		return nil, err
+	}
+	return inventory.ExpandSeries(want, series)
+}
+
 // Days of 23 and 25 hours must not shift reservations. A local time that is skipped must be an error, and the two
 // occurrences of a repeated one must be told apart.
 func TestDaylightSavingChanges(t *testing.T) {
@@ -83,14 +92,15 @@
 		t.Errorf("a reservation across the change: %v", result)
 	}
 	// A series keeps its local time of day.
-	list, err := inventory.ExpandRecurrence(
+	list, err := expandSeries(
+		inventory,
 		&pb.Want{Piece: "k1", From: mustParseTime(t, inventory, "2027-03-23T08:00"), Slots: 1},
 		"FREQ=WEEKLY;COUNT=2",
 	)
 	if err != nil || len(list) != 2 || inventory.FormatTime(list[1].From) != "2027-03-30T08:00:00+02:00" {
 		t.Errorf("a weekly series across the change: %v, %v", list, err)
 	}
-	if _, err := inventory.ExpandRecurrence(list[0], "FREQ=DAILY;BYMONTH=2;BYMONTHDAY=30;COUNT=2"); err == nil {
+	if _, err := expandSeries(inventory, list[0], "FREQ=DAILY;BYMONTH=2;BYMONTHDAY=30;COUNT=2"); err == nil {
 		t.Error("a rule that matches no day is accepted")
 	}
 }
--- a/booking/decide.go
+++ b/booking/decide.go
@@ -309,7 +309,10 @@
 func (inv *Inventory) validateCandidates(team string, want *pb.Want) error {
 	candidates := inv.candidates(want)
 	if len(candidates) == 0 {
-		return fmt.Errorf("there is no %s", cmp.Or(want.Piece, strings.TrimSpace(want.Kind+" "+want.Zone)))
+		if item := inv.itemsByName[want.Piece]; item != nil {
+			return fmt.Errorf("%s can't be booked until its entry in the list is valid: %w", item.Name, item.invalid)
+		}
+		return fmt.Errorf("there is no %s", quoteInput(cmp.Or(want.Piece, strings.TrimSpace(want.Kind+" "+want.Zone))))
 	}
 	var first error
 	for _, item := range candidates {
--- a/booking/inventory.go
+++ b/booking/inventory.go
@@ -13,7 +13,6 @@
 	"time"
 	_ "time/tzdata" // for hosts without an installed time zone database
 
-	"github.com/teambition/rrule-go"
 	"google.golang.org/protobuf/encoding/prototext"
 
 	pb "dewlift/proto"
@@ -37,6 +36,9 @@
 	// maxCachedDays bounds the days whose opening hours are cached for an item.
 	maxCachedDays = 4000
 
+	// maxQuotedBytes bounds what an error quotes of a caller's text.
+	maxQuotedBytes = 80
+
 	dayFormat   = "2006-01-02"
 	clockFormat = "2006-01-02T15:04"
 )
@@ -60,6 +62,9 @@
 	openingRules                 []openingHours
 	closedDays                   []dayRule
 	openingCache                 map[int]interval // opening hours by days since 1970
+
+	// invalid is why a stored item can't be reserved, or nil. Reservations of such an item stay as they are.
+	invalid error
 }
 
 // openingHours is the opening hours on the days that match a rule.
@@ -73,8 +78,9 @@
 
 // dayRule is a set of days: every day, a single one, or those that match a recurrence rule.
 type dayRule struct {
-	rule         *rrule.ROption       // nil: singleDay decides
-	singleDay    int                  // days since 1970; 0: every day
+	rule         *recurrence          // nil: a single day or every day
+	isSingleDay  bool                 // singleDay is the only day
+	singleDay    int                  // days since 1970
 	matchingDays map[int]map[int]bool // cached days of rule, by year and days since 1970
 }
 
@@ -89,29 +95,47 @@
 
 // NewInventory validates an equipment list. The caller must not modify the list afterwards.
 func NewInventory(equipment *pb.Equipment) (*Inventory, error) {
+	inv, invalid, err := LoadInventory(equipment)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(invalid) > 0:
+		return nil, invalid[0]
+	}
+	return inv, nil
+}
+
+// LoadInventory reads a stored equipment list, which an earlier version may have validated by other rules. An item
+// that is invalid now can't be reserved any more; the errors in invalid tell why. The caller must not modify the list
+// afterwards.
+func LoadInventory(equipment *pb.Equipment) (inv *Inventory, invalid []error, err error) {
 	zone, err := time.LoadLocation(equipment.TimeZone)
 	if err != nil || strings.EqualFold(equipment.TimeZone, "local") {
-		return nil, fmt.Errorf("time_zone: %q is no time zone", equipment.TimeZone)
+		return nil, nil, fmt.Errorf("time_zone: %q is no time zone", quoteInput(equipment.TimeZone))
 	}
 	if len(equipment.Pieces) > maxItems {
-		return nil, fmt.Errorf("%d pieces, at most %d are allowed", len(equipment.Pieces), maxItems)
+		return nil, nil, fmt.Errorf("%d pieces, at most %d are allowed", len(equipment.Pieces), maxItems)
 	}
-	inv := &Inventory{source: equipment, location: zone, itemsByName: map[string]*equipmentItem{}}
+	inv = &Inventory{source: equipment, location: zone, itemsByName: map[string]*equipmentItem{}}
 	for i, piece := range equipment.Pieces {
 		item, err := newEquipmentItem(piece)
 		if err == nil && inv.itemsByName[piece.Name] != nil {
 			err = errors.New(".name: used twice")
 		}
 		if err != nil {
-			return nil, fmt.Errorf("pieces[%d] (%s)%w", i, piece.Name, err)
+			err = fmt.Errorf("pieces[%d] (%s)%w", i, quoteInput(piece.Name), err)
+			invalid = append(invalid, err)
+			item.invalid = err
+		}
+		if inv.itemsByName[piece.Name] == nil {
+			inv.itemsByName[piece.Name] = item
+			inv.items = append(inv.items, item)
 		}
-		inv.itemsByName[piece.Name] = item
-		inv.items = append(inv.items, item)
 	}
-	return inv, nil
+	return inv, invalid, nil
 }
 
-// newEquipmentItem validates an item.
+// newEquipmentItem validates an item. It returns the item with an error too, for the reservations that it has.
 func newEquipmentItem(piece *pb.Piece) (*equipmentItem, error) {
 	item := &equipmentItem{
 		Piece:           piece,
@@ -121,15 +145,13 @@
 		openingCache:    map[int]interval{},
 	}
 	if err := item.validateLimits(); err != nil {
-		return nil, err
+		item.unitCount = min(item.unitCount, maxUnits)
+		return item, err
 	}
 	if err := item.parseHours(); err != nil {
-		return nil, err
+		return item, err
 	}
-	if err := item.parseClosedDays(); err != nil {
-		return nil, err
-	}
-	return item, nil
+	return item, item.parseClosedDays()
 }
 
 // validateLimits validates the names and numbers of an item.
@@ -137,9 +159,9 @@
 	piece := item.Piece
 	switch {
 	case !validName.MatchString(piece.Name):
-		return fmt.Errorf(".name: %q is no name", piece.Name)
+		return fmt.Errorf(".name: %q is no name", quoteInput(piece.Name))
 	case !validName.MatchString(piece.Kind):
-		return fmt.Errorf(".kind: %q is no name", piece.Kind)
+		return fmt.Errorf(".kind: %q is no name", quoteInput(piece.Kind))
 	case item.unitCount > maxUnits:
 		return fmt.Errorf(".units: %d, at most %d are allowed", item.unitCount, maxUnits)
 	case piece.SlotMinutes < 1 || piece.SlotMinutes > maxSlotMinutes:
@@ -172,7 +194,8 @@
 		from, fromOK := parseTimeOfDay(hours.From)
 		to, toOK := parseTimeOfDay(hours.To)
 		if !fromOK || !toOK || from >= to {
-			return fmt.Errorf(".hours[%d]: from %q to %q is no time of a day", i, hours.From, hours.To)
+			return fmt.Errorf(".hours[%d]: from %q to %q is no time of a day",
+				i, quoteInput(hours.From), quoteInput(hours.To))
 		}
 		item.openingRules = append(item.openingRules, openingHours{days, from, to})
 	}
@@ -182,21 +205,40 @@
 // parseClosedDays parses the days on which an item is closed.
 func (item *equipmentItem) parseClosedDays() error {
 	for i, text := range item.Closed {
-		days := dayRule{}
-		day, err := time.Parse(dayFormat, text)
-		if err == nil {
-			days.singleDay = int(day.Unix() / secondsPerDay)
-		} else if strings.Contains(text, "=") {
-			days, err = parseRule(text)
-		}
+		days, err := parseClosedDay(text)
 		if err != nil {
-			return fmt.Errorf(".closed[%d]: %q is neither a day, as 2027-12-24, nor a rule", i, text)
+			return fmt.Errorf(".closed[%d]: %w", i, err)
 		}
 		item.closedDays = append(item.closedDays, days)
 	}
 	return nil
 }
 
+// parseClosedDay parses a day or a recurrence rule.
+func parseClosedDay(text string) (dayRule, error) {
+	const form = "%q is neither a day, as 2027-12-24, nor a rule"
+	if strings.Contains(text, "=") {
+		days, err := parseRule(text)
+		if err != nil {
+			return dayRule{}, fmt.Errorf(form+": %w", quoteInput(text), err)
+		}
+		return days, nil
+	}
+	day, err := time.Parse(dayFormat, text)
+	if err != nil {
+		return dayRule{}, fmt.Errorf(form, quoteInput(text))
+	}
+	return dayRule{isSingleDay: true, singleDay: dayNumber(day.Date())}, nil
+}
+
+// validateYear returns an error unless a reservation may begin in a year.
+func validateYear(year int) error {
+	if year < firstYear || year >= lastYear {
+		return fmt.Errorf("the year is %d, must be from %d to %d", year, firstYear, lastYear-1)
+	}
+	return nil
+}
+
 // parseTimeOfDay parses a time of day from 0:00 to 24:00 and returns it in minutes.
 func parseTimeOfDay(text string) (int, bool) {
 	hourText, minuteText, ok := strings.Cut(text, ":")
@@ -213,21 +255,26 @@
 	if text == "" {
 		return dayRule{}, nil
 	}
-	options, err := rrule.StrToROption(text)
-	if err == nil && (options.Freq > rrule.DAILY || options.Count > 0 || options.Interval > 1 ||
-		!options.Until.IsZero() || !options.Dtstart.IsZero() ||
-		len(options.Byhour)+len(options.Byminute)+len(options.Bysecond) > 0) {
+	rule, err := parseRecurrence(text)
+	if errors.Is(err, errNotOfDays) ||
+		err == nil && (rule.options.Count > 0 || rule.options.Interval > 1 || !rule.options.Until.IsZero()) {
 		err = errors.New("only rules of days are allowed, without count, interval, start or end")
 	}
-	return dayRule{rule: options}, err
+	if err != nil {
+		return dayRule{}, err
+	}
+	return dayRule{rule: rule}, nil
 }
 
 // includes reports whether a day, in days since 1970, is in the set.
 func (r *dayRule) includes(day int) bool {
 	if r.rule == nil {
-		return r.singleDay == 0 || r.singleDay == day
+		return !r.isSingleDay || r.singleDay == day
+	}
+	year := dateOf(day).Year()
+	if validateYear(year) != nil {
+		return false // nothing can be reserved then
 	}
-	year := time.Unix(int64(day)*secondsPerDay, 0).UTC().Year()
 	days, ok := r.matchingDays[year]
 	if !ok {
 		days = r.daysOf(year)
@@ -241,29 +288,23 @@
 
 // daysOf returns the days of a year that match the rule, in days since 1970.
 func (r *dayRule) daysOf(year int) map[int]bool {
-	first := time.Date(year, 1, 1, 0, 0, 0, 0, time.UTC)
-	options := *r.rule
-	options.Dtstart = first
 	days := map[int]bool{}
-	if rule, err := rrule.NewRRule(options); err == nil { // a rule that can't be evaluated matches no day
-		for _, day := range rule.Between(first, first.AddDate(1, 0, -1), true) {
-			days[int(day.Unix()/secondsPerDay)] = true
-		}
+	for _, day := range r.rule.days(dayNumber(year, 1, 1), dayNumber(year, 12, 31), maxYearDays) {
+		days[day] = true
 	}
 	return days
 }
 
 // dayOf returns the local day of a time, in days since 1970.
 func (inv *Inventory) dayOf(at int64) int {
-	year, month, day := time.Unix(at, 0).In(inv.location).Date()
-	return int(time.Date(year, month, day, 0, 0, 0, 0, time.UTC).Unix() / secondsPerDay)
+	return dayNumber(time.Unix(at, 0).In(inv.location).Date())
 }
 
 // timeOnDay returns the moment at which local clocks show a day and a number of minutes after midnight. For a local
 // time that is skipped when clocks go forward, it returns the moment of the change; for one that occurs twice, the
 // first occurrence.
 func (inv *Inventory) timeOnDay(day, minute int) int64 {
-	year, month, dayOfMonth := time.Unix(int64(day)*secondsPerDay, 0).UTC().Date()
+	year, month, dayOfMonth := dateOf(day).Date()
 	t := time.Date(year, month, dayOfMonth, minute/60, minute%60, 0, 0, inv.location)
 	want := time.Date(year, month, dayOfMonth, minute/60, minute%60, 0, 0, time.UTC).Unix()
 	_, offset := t.Zone()
@@ -299,8 +340,10 @@
 
 // computeOpening computes the opening hours of an item on a day. The interval is empty if the item is closed.
 func (inv *Inventory) computeOpening(item *equipmentItem, day int) interval {
-	if slices.ContainsFunc(item.closedDays, func(days dayRule) bool { return days.includes(day) }) {
-		return interval{}
+	for i := range item.closedDays {
+		if item.closedDays[i].includes(day) {
+			return interval{}
+		}
 	}
 	if len(item.openingRules) == 0 {
 		return interval{inv.timeOnDay(day, 0), inv.timeOnDay(day+1, 0)}
@@ -322,9 +365,8 @@
 // checkSlots returns an error unless an item offers the number of consecutive slots from that time on, whether they
 // are occupied or not.
 func (inv *Inventory) checkSlots(item *equipmentItem, from int64, slots int) error {
-	year := time.Unix(from, 0).UTC().Year()
-	if year < firstYear || year >= lastYear {
-		return errors.New("no time at which something can be booked")
+	if err := validateYear(time.Unix(from, 0).UTC().Year()); err != nil {
+		return err
 	}
 	open, ok := inv.openingOn(item, inv.dayOf(from))
 	if !ok || from < open.from || from >= open.to {
@@ -357,6 +399,18 @@
 
 // ParseTime parses a time like 2027-03-04T08:00, which is in the site's time zone unless it has an offset.
 func (inv *Inventory) ParseTime(text string) (int64, error) {
+	at, err := inv.parseAnyTime(text)
+	if err != nil {
+		return 0, err
+	}
+	if err := validateYear(time.Unix(at, 0).UTC().Year()); err != nil {
+		return 0, fmt.Errorf("%q: %w", quoteInput(text), err)
+	}
+	return at, nil
+}
+
+// parseAnyTime parses a time of any year.
+func (inv *Inventory) parseAnyTime(text string) (int64, error) {
 	if t, err := time.Parse(time.RFC3339, text); err == nil {
 		return t.Unix(), nil
 	}
@@ -365,11 +419,12 @@
 	}
 	t, err := time.Parse(clockFormat, text)
 	if err != nil {
-		return 0, fmt.Errorf("%q is no time: write 2027-03-04T08:00, or with an offset 2027-03-04T08:00+01:00", text)
+		return 0, fmt.Errorf("%q is no time: write 2027-03-04T08:00, or with an offset 2027-03-04T08:00+01:00",
+			quoteInput(text))
 	}
-	at := inv.timeOnDay(int(t.Unix()/secondsPerDay), t.Hour()*60+t.Minute())
+	at := inv.timeOnDay(dayNumber(t.Date()), t.Hour()*60+t.Minute())
 	if time.Unix(at, 0).In(inv.location).Format(clockFormat) != text {
-		return 0, fmt.Errorf("the clocks never show %s in %s", text, inv.location)
+		return 0, fmt.Errorf("the clocks never show %s in %s", quoteInput(text), inv.location)
 	}
 	return at, nil
 }
@@ -378,9 +433,12 @@
 func (inv *Inventory) ParseDay(text string) (from, to int64, err error) {
 	t, err := time.Parse(dayFormat, text)
 	if err != nil {
-		return 0, 0, fmt.Errorf("%q is no day: write 2027-03-04", text)
+		return 0, 0, fmt.Errorf("%q is no day: write 2027-03-04", quoteInput(text))
+	}
+	if err := validateYear(t.Year()); err != nil {
+		return 0, 0, fmt.Errorf("%q: %w", quoteInput(text), err)
 	}
-	day := int(t.Unix() / secondsPerDay)
+	day := dayNumber(t.Date())
 	return inv.timeOnDay(day, 0), inv.timeOnDay(day+1, 0), nil
 }
 
@@ -390,14 +448,14 @@
 // candidates returns the items that can meet a want.
 func (inv *Inventory) candidates(want *pb.Want) []*equipmentItem {
 	if want.Piece != "" {
-		if item := inv.itemsByName[want.Piece]; item != nil {
+		if item := inv.itemsByName[want.Piece]; item != nil && item.invalid == nil {
 			return []*equipmentItem{item}
 		}
 		return nil
 	}
 	var out []*equipmentItem
 	for _, item := range inv.items {
-		if item.Kind == want.Kind && (want.Zone == "" || item.Zone == want.Zone) {
+		if item.invalid == nil && item.Kind == want.Kind && (want.Zone == "" || item.Zone == want.Zone) {
 			out = append(out, item)
 		}
 	}
--- a/booking/schedule.go
+++ b/booking/schedule.go
@@ -15,6 +15,7 @@
 	waitlist   []*pb.Booking           // in the order in which free units are assigned
 	held       map[string]*pb.Booking
 	lastChange uint64
+	work       int // of all searches and series so far, see maxSearchWork
 }
 
 // unitKey identifies a unit of an item.
@@ -51,6 +52,12 @@
 // the reservations that they stored.
 func (s *Schedule) ObserveChange(change uint64) { s.lastChange = max(s.lastChange, change) }
 
+// Work returns a measure of the work of all searches and series so far, which only grows.
+func (s *Schedule) Work() int { return s.work }
+
+// AddSeriesWork counts the work of ExpandRecurrence for a number of slots.
+func (s *Schedule) AddSeriesWork(slots int) { s.work += slots * seriesWork }
+
 // Get returns a reservation, or nil if there is none. The caller must not modify it.
 func (s *Schedule) Get(id string) *pb.Booking { return s.byID[id] }
 
--- a/booking/search.go
+++ b/booking/search.go
@@ -15,6 +15,10 @@
 	// exponential time in the worst case.
 	maxSearchSteps = 5000
 
+	// maxSearchWork bounds one search, for units or for free times, in units of an item and days of its opening hours
+	// that are looked up. All controllers stop at the same point, which they would not at a time limit.
+	maxSearchWork = 100_000
+
 	// searchDays is how many days ahead free times are searched.
 	searchDays = 60
 )
@@ -33,6 +37,7 @@
 
 	slots      []*pb.Slot // by want
 	steps      int
+	work       int   // see maxSearchWork
 	bestDepth  int   // the largest number of wants that could be met together
 	failedWant int   // index of the next want, which could not be met in addition
 	failure    error // why it could not be met
@@ -59,12 +64,23 @@
 		search.wantOrder,
 		func(a, b int) int { return cmp.Compare(len(inv.candidates(wants[a])), len(inv.candidates(wants[b]))) },
 	)
-	if search.assignFrom(0) {
+	found := search.assignFrom(0)
+	schedule.work += search.work
+	switch {
+	case found:
 		return search.slots, 0, nil
+	case search.failure == nil:
+		return nil, 0, errSearchTooLong
 	}
 	return nil, search.failedWant, search.failure
 }
 
+// errSearchTooLong is the reason if a search ended before it found out that a certain want can't be met.
+var errSearchTooLong = errors.New("there are too many ways to combine these slots: ask for fewer together")
+
+// isTooLong reports whether the search has reached one of its bounds.
+func (x *unitSearch) isTooLong() bool { return x.steps > maxSearchSteps || x.work > maxSearchWork }
+
 // assignFrom assigns units to the wants from position depth of wantOrder on, and reports whether it could meet all
 // of them.
 func (x *unitSearch) assignFrom(depth int) bool {
@@ -75,12 +91,13 @@
 	want := x.wants[index]
 	var failure error
 	for _, item := range x.inventory.candidates(want) {
+		x.work += item.daysOf(want)
 		if !item.allowsTeam(x.team) || x.inventory.checkSlots(item, want.From, int(want.Slots)) != nil {
 			continue
 		}
 		finished, freeAt := x.tryUnits(depth, item)
 		if finished {
-			return x.steps <= maxSearchSteps
+			return !x.isTooLong()
 		}
 		switch {
 		case failure != nil:
@@ -101,6 +118,11 @@
 	return false
 }
 
+// daysOf returns the number of days whose opening hours a want takes up at most.
+func (item *equipmentItem) daysOf(want *pb.Want) int {
+	return 1 + int(int64(want.Slots)*item.slotSeconds/secondsPerDay)
+}
+
 // tryUnits tries each free unit of an item for the want at position depth of wantOrder. It stops and reports
 // finished once the remaining wants can be met or the search has taken too many steps. Otherwise freeAt is when the
 // first occupied unit becomes free, or 0 if no unit is usable.
@@ -113,12 +135,15 @@
 		if !item.isUnitUsable(int(unit)) {
 			continue
 		}
+		if x.work++; x.isTooLong() {
+			return true, freeAt
+		}
 		if until, occupied := x.occupiedUntil(depth, unitKey{item.Name, unit}, needed); occupied {
 			freeAt = cmp.Or(min(freeAt, until), freeAt, until)
 			continue
 		}
 		x.slots[index] = &pb.Slot{Piece: item.Name, Unit: unit, From: want.From, To: to, Clear: needed.to}
-		if x.steps++; x.steps > maxSearchSteps || x.assignFrom(depth+1) {
+		if x.steps++; x.isTooLong() || x.assignFrom(depth+1) || x.isTooLong() {
 			return true, freeAt
 		}
 	}
@@ -141,13 +166,16 @@
 }
 
 // NextFree returns up to limit intervals in which a want can be met. They begin at from or later and end by until; if
-// until is 0, they may end at any time. The slots of the reservation with that ID are no conflict.
+// until is 0, they may end at any time. The slots of the reservation with that ID are no conflict. The search ends
+// early after maxSearchWork.
 func (inv *Inventory) NextFree(
 	schedule *Schedule, id, team string, want *pb.Want, from, until int64, limit int,
 ) (out []FreeSlot) {
+	workLimit := schedule.work + maxSearchWork
 	for day, last := inv.dayOf(from), inv.dayOf(from)+searchDays; day <= last && len(out) < limit; day++ {
 		var today []FreeSlot
 		for _, item := range inv.candidates(want) {
+			schedule.work++
 			open, ok := inv.openingOn(item, day)
 			if !ok || !item.allowsTeam(team) {
 				continue
@@ -156,7 +184,7 @@
 			if at < from {
 				at += (from - at + item.slotSeconds - 1) / item.slotSeconds * item.slotSeconds
 			}
-			for n := 0; at < open.to && n < limit; at += item.slotSeconds {
+			for n := 0; at < open.to && n < limit && schedule.work < workLimit; at += item.slotSeconds {
 				exact := &pb.Want{Piece: item.Name, From: at, Slots: max(1, want.Slots)}
 				if until != 0 && at+int64(exact.Slots)*item.slotSeconds > until {
 					break
--- a/core/denials_test.go
+++ b/core/denials_test.go
@@ -150,7 +150,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := newAuditingCoreWithEquipment(t)
 			c.Handle(10*time.Second, tt.input)
-			statuses, writes := responsesAndWrites(c, 10*time.Second, 20*time.Second)
+			statuses, writes := responsesAndWrites(c, 20*time.Second)
 			if len(statuses) != 1 || statuses[0] != tt.status {
 				t.Errorf("statuses %v, want one %v", statuses, tt.status)
 			}
@@ -168,25 +168,27 @@
 	}
 }
 
+// grantToPotter gives potter a role "booker" with verbs for all teams and classes, at a revision of the store.
+func grantToPotter(t *testing.T, c *Core, revision uint64, verbs ...pb.Verb) {
+	t.Helper()
+	roles := c.permissions.roles.Roles
+	roles = append(roles[:len(roles):len(roles)], &pb.Role{
+		Name:   "booker",
+		Grants: []*pb.Grant{{Verbs: verbs, Teams: []string{"*"}, Classes: []string{"*"}}},
+	})
+	identity := c.permissions.identities[potter.Identity].identity
+	held := &pb.Identity{Name: identity.Name, Keys: identity.Keys, Roles: []string{"visitor", "booker"}}
+	watchEvents(c, 10*time.Second, revision,
+		packedEvent(t, keyRoles, &pb.Access{Roles: roles}, revision),
+		packedEvent(t, keyIdentity+potter.Identity, held, revision))
+}
+
 // If a permission is revoked between the decision on a request and its commit, the request must be decided again:
 // then it must be denied, and nothing written.
 func TestRevocationBetweenDecisionAndCommit(t *testing.T) {
 	c := newAuditingCoreWithEquipment(t)
-	grant := func(revision uint64, verbs ...pb.Verb) {
-		t.Helper()
-		roles := c.permissions.roles.Roles
-		roles = append(roles[:len(roles):len(roles)], &pb.Role{
-			Name:   "booker",
-			Grants: []*pb.Grant{{Verbs: verbs, Teams: []string{"*"}, Classes: []string{"*"}}},
-		})
-		identity := c.permissions.identities[potter.Identity].identity
-		held := &pb.Identity{Name: identity.Name, Keys: identity.Keys, Roles: []string{"visitor", "booker"}}
-		watchEvents(c, 10*time.Second, revision,
-			packedEvent(t, keyRoles, &pb.Access{Roles: roles}, revision),
-			packedEvent(t, keyIdentity+potter.Identity, held, revision))
-	}
 	original := c.permissions.roles.Roles
-	grant(3000, pb.Verb_equip, pb.Verb_book)
+	grantToPotter(t, c, 3000, pb.Verb_equip, pb.Verb_book)
 	edit := wire.EquipmentEdit{Text: `pieces { name: "other" kind: "kiln" slot_minutes: 1 }`}
 	c.Handle(10*time.Second, SetEquipment{RequestID: deniedRequestID, Caller: potter, Edit: edit})
 	commits := outputsOfType[CommitTxn](c.Advance(10 * time.Second))
@@ -205,7 +207,7 @@
 	watchEvents(c, 10*time.Second, 3001, revoked)
 	conflict := wire.TxnResponse{Failed: []string{keyRoles}}
 	c.Handle(10*time.Second, TxnResult{ID: commits[0].ID, Status: wire.StatusConflict, Reply: conflict})
-	statuses, writes := responsesAndWrites(c, 10*time.Second, 15*time.Second)
+	statuses, writes := responsesAndWrites(c, 15*time.Second)
 	for _, write := range writes {
 		if write.Put == reservations.KeyInventory {
 			t.Errorf("the list is written after the permission was revoked: %s", write.Value)
@@ -216,14 +218,17 @@
 	}
 }
 
-// responsesAndWrites commits all transactions in an interval. It returns their writes and the statuses of the
+// deniedRequestAt is when the denied request is handled.
+const deniedRequestAt = 10 * time.Second
+
+// responsesAndWrites commits all transactions from deniedRequestAt on. It returns their writes and the statuses of the
 // responses to the denied request.
-func responsesAndWrites(c *Core, from, to time.Duration) (statuses []wire.Status, writes []wire.Write) {
+func responsesAndWrites(c *Core, to time.Duration) (statuses []wire.Status, writes []wire.Write) {
 	accepts := func(txn wire.Txn) bool {
 		writes = append(writes, txn.Then...)
 		return true
 	}
-	answerAndObserve(c, from, to, accepts, func(out Output) {
+	answerAndObserve(c, deniedRequestAt, to, accepts, func(out Output) {
 		if response, ok := out.(Response); ok && response.RequestID == deniedRequestID {
 			statuses = append(statuses, response.Status)
 		}
@@ -247,7 +252,7 @@
 	c := newAuditingCoreWithEquipment(t)
 	in := SetPriorityClasses{RequestID: deniedRequestID, Caller: anna, Text: `lanes { name: "all" }`}
 	c.Handle(10*time.Second, in)
-	statuses, writes := responsesAndWrites(c, 10*time.Second, 20*time.Second)
+	statuses, writes := responsesAndWrites(c, 20*time.Second)
 	if len(statuses) != 1 || statuses[0] != wire.StatusOK {
 		t.Fatalf("statuses %v, want one %v", statuses, wire.StatusOK)
 	}
--- /dev/null
+++ b/core/inputs_mutation_test.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// oddValues replace single values of an input.
+var oddValues = []any{
+	nil, true, "", "a", "\x00", "wk-1", "wk-1/0", "m-1", "x", "0000-01-01T00:00", strings.Repeat("é", 5000),
+	json.Number("0"), json.Number("-1"), json.Number("1e308"), json.Number("-1e308"), json.Number("1e-308"),
+	json.Number("99999"), json.Number("-99999"), json.Number("2147483648"), json.Number("4294967295"),
+	json.Number("9223372036854775807"), json.Number("-9223372036854775808"), json.Number("18446744073709551615"),
+	[]any{},
+	map[string]any{},
+}
+
+// mutate returns a JSON value in which about one of its parts is odd, missing or repeated.
+func mutate(random *rand.Rand, value any) any {
+	if random.IntN(8) == 0 {
+		return oddValues[random.IntN(len(oddValues))]
+	}
+	switch value := value.(type) {
+	case map[string]any:
+		changed := maps.Clone(value)
+		if len(changed) == 0 {
+			return changed
+		}
+		keys := slices.Sorted(maps.Keys(changed))
+		key := keys[random.IntN(len(keys))]
+		changed[key] = mutate(random, changed[key])
+		return changed
+	case []any:
+		changed := slices.Clone(value)
+		if len(changed) == 0 {
+			return changed
+		}
+		i := random.IntN(len(changed))
+		switch random.IntN(4) {
+		case 0:
+			return slices.Delete(changed, i, i+1)
+		case 1:
+			return slices.Insert(changed, i, changed[i])
+		}
+		changed[i] = mutate(random, changed[i])
+		return changed
+	}
+	return oddValues[random.IntN(len(oddValues))]
+}
+
+// mutateText returns a text in which one part is replaced by an odd value.
+func mutateText(random *rand.Rand, text string) string {
+	fields := strings.Fields(text)
+	i := random.IntN(len(fields))
+	raw, err := json.Marshal(oddValues[random.IntN(len(oddValues))])
+	if err != nil {
+		return text
+	}
+	fields[i] = string(raw)
+	return strings.Join(fields, " ")
+}
+
+// mutateInput returns the raw form of an input that differs from a seed in a few places.
+func mutateInput(random *rand.Rand, raw string) []byte {
+	decoder := json.NewDecoder(strings.NewReader(raw))
+	decoder.UseNumber()
+	var value any
+	if decoder.Decode(&value) != nil {
+		return []byte(mutateText(random, raw))
+	}
+	for range 1 + random.IntN(3) {
+		value = mutate(random, value)
+	}
+	changed, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return changed
+}
+
+// Inputs with odd values in any place must neither make the core panic nor keep it from its other work.
+func TestMutatedInputs(t *testing.T) {
+	const inputs = 3000
+	random := rand.New(rand.NewPCG(46, 2))
+	seeds := slices.Clone(inputSeeds)
+	for range inputs {
+		seed := seeds[random.IntN(len(seeds))]
+		raw := mutateInput(random, seed.raw)
+		in, ok := decodeInput(seed.kind, raw)
+		if !ok {
+			continue
+		}
+		played := t.Run("", func(t *testing.T) {
+			defer func() {
+				if reason := recover(); reason != nil {
+					t.Errorf("kind %d, %s: panic: %v\n%s", seed.kind, raw, reason, debug.Stack())
+				}
+			}()
+			playInput(t, newCoreForInputs(t), in)
+		})
+		if !played {
+			t.Fatalf("kind %d: %s", seed.kind, raw)
+		}
+	}
+}
--- a/core/priorityclasses.go
+++ b/core/priorityclasses.go
@@ -200,11 +200,6 @@
 // handleSetPriorityClasses replaces the active list for an authorized caller. Jobs keep the class that
 // they were accepted into if the new list has it.
 func (c *Core) handleSetPriorityClasses(in SetPriorityClasses) {
-	list, err := priorityclass.Parse([]byte(in.Text))
-	if err != nil {
-		c.respond(in.RequestID, wire.StatusBadRequest, wire.Error{Error: "lanes: " + err.Error()})
-		return
-	}
 	switch {
 	case c.access.isNotServing():
 		c.respondUnavailable(in.RequestID, reasonNotReady)
@@ -216,15 +211,20 @@
 		)
 		return
 	}
-	store := func() { c.storePriorityClasses(in, list) }
+	store := func() { c.storePriorityClasses(in) }
 	c.replica.afterReadBarrier(
 		c.ifAuthorized(in.RequestID, in.Caller, pb.Verb_administer, priorityClassesAuditObject, store),
 	)
 }
 
-// storePriorityClasses commits a list on condition that neither the previous list nor the caller's
-// permissions have changed, and responds to the request.
-func (c *Core) storePriorityClasses(in SetPriorityClasses, list *priorityclass.List) {
+// storePriorityClasses validates a list and commits it on condition that neither the previous list nor the
+// caller's permissions have changed, and responds to the request.
+func (c *Core) storePriorityClasses(in SetPriorityClasses) {
+	list, err := priorityclass.Parse([]byte(in.Text))
+	if err != nil {
+		c.respond(in.RequestID, wire.StatusBadRequest, wire.Error{Error: "lanes: " + err.Error()})
+		return
+	}
 	raw, err := jobrecord.PackMessage(list.Source())
 	if err != nil || len(raw) > c.cfg.Store.MaxValueBytes {
 		c.respond(in.RequestID, wire.StatusBadRequest, wire.Error{Error: "lanes: too long to be stored"})
--- a/core/reservations.go
+++ b/core/reservations.go
@@ -98,6 +98,12 @@
 func (c *Core) handleReserveEquipment(in ReserveEquipment) {
 	reservation := in.Request
 	rank, err := validateReservation(&reservation)
+	var series *booking.SeriesRule
+	if err == nil && reservation.Repeat != "" {
+		if series, err = booking.ParseSeriesRule(reservation.Repeat); err != nil {
+			err = fmt.Errorf("repeat: %w", err)
+		}
+	}
 	if err != nil {
 		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: err.Error()})
 		return
@@ -117,10 +123,10 @@
 	}
 	c.enqueueReservationRequest(
 		&reservations.PendingRequest{
-			Request:        request,
-			Wants:          reservation.Slots,
-			RecurrenceRule: reservation.Repeat,
-			CallerData:     reservationCaller{requestID: in.RequestID, caller: in.Caller},
+			Request:    request,
+			Wants:      reservation.Slots,
+			Series:     series,
+			CallerData: reservationCaller{requestID: in.RequestID, caller: in.Caller},
 		},
 	)
 }
@@ -133,9 +139,12 @@
 	if !wire.ValidTeamName(reservation.Team) {
 		return 0, errors.New("team: " + wire.TeamNameLimit())
 	}
+	if err := reservations.ValidateSlots(reservation.Slots); err != nil {
+		return 0, err
+	}
 	rank, ok := wire.Priority(cmp.Or(reservation.Priority, wire.PriorityName(wire.PriorityStandard)))
 	if !ok {
-		return 0, errors.New("priority: there is no " + reservation.Priority)
+		return 0, fmt.Errorf("priority: there is no %.80q", reservation.Priority)
 	}
 	return rank, nil
 }
@@ -148,20 +157,26 @@
 	}
 }
 
-// handleSetEquipment validates a new equipment list and queues its replacement.
+// handleSetEquipment validates a new equipment list of a permitted caller and queues its replacement. The transaction
+// that stores the list compares the permissions again.
 func (c *Core) handleSetEquipment(in SetEquipment) {
-	inventory, err := booking.Parse([]byte(in.Edit.Text))
-	if err != nil {
-		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: "equipment: " + err.Error()})
+	if !c.canServeReservations(in.RequestID) {
 		return
 	}
-	if raw, err := reservations.EncodeInventory(inventory.Source()); err != nil ||
-		len(raw) > c.cfg.Store.MaxValueBytes {
-		why := fmt.Sprintf("equipment: it takes %d bytes, at most %d are stored", len(raw), c.cfg.Store.MaxValueBytes)
-		c.respond(in.RequestID, wire.StatusBadRequest, wire.ReservationResponse{Error: why})
-		return
+	if c.permissions.isInForce() {
+		if denial := denialReason(c.access.authorize(in.Caller, access.Action{Verb: pb.Verb_equip})); denial != "" {
+			verb := reservationAuditVerbs[booking.VerbSetInventory]
+			c.respondForbidden(in.RequestID, in.Caller, verb, equipmentAuditObject, denial)
+			return
+		}
 	}
-	if !c.canServeReservations(in.RequestID) {
+	inventory, err := c.parseEquipment(in.Edit.Text)
+	if err != nil {
+		c.respond(
+			in.RequestID,
+			wire.StatusBadRequest,
+			wire.ReservationResponse{Error: "equipment: " + err.Error()},
+		)
 		return
 	}
 	request := booking.Request{
@@ -178,6 +193,19 @@
 	)
 }
 
+// parseEquipment parses and validates an equipment list that is to be stored.
+func (c *Core) parseEquipment(text string) (*booking.Inventory, error) {
+	inventory, err := booking.Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	raw, err := reservations.EncodeInventory(inventory.Source())
+	if err != nil || len(raw) > c.cfg.Store.MaxValueBytes {
+		return nil, fmt.Errorf("it takes %d bytes, at most %d are stored", len(raw), c.cfg.Store.MaxValueBytes)
+	}
+	return inventory, nil
+}
+
 // advanceReservations responds to expired requests, seeds the equipment, starts the reads of archive blocks that
 // requests need, and starts at most one further transaction: a batch of requests or, on a leader that has write tokens
 // to spare, a compaction.
@@ -303,6 +331,9 @@
 	}})
 }
 
+// equipmentAuditObject is the object of a change of the equipment in the audit log.
+const equipmentAuditObject = "equipment"
+
 // reservationAuditVerbs maps the kinds of reservation requests to verbs of the audit log.
 var reservationAuditVerbs = map[booking.Verb]string{
 	booking.VerbCreate: "book", booking.VerbConfirm: "confirm booking", booking.VerbMove: "move booking",
@@ -379,7 +410,7 @@
 
 // reservationAuditObject returns the object of a request in the audit log.
 func reservationAuditObject(request *reservations.PendingRequest) string {
-	return cmp.Or(request.Request.ID, "equipment")
+	return cmp.Or(request.Request.ID, equipmentAuditObject)
 }
 
 // reservationStatuses maps the outcomes of requests that were decided and not denied to response statuses.
--- a/core/reservations/batch.go
+++ b/core/reservations/batch.go
@@ -1,7 +1,6 @@
 package reservations
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -123,12 +122,13 @@
 	return txn, true
 }
 
-// decideRequests decides requests in order, until the transaction has no capacity for more compares or a request
-// changes the equipment, by which the next batch is then decided. It returns the compares that fail if the
-// decisions no longer hold, and the granted requests.
+// decideRequests decides requests in order, until the transaction has no capacity for more compares, the requests
+// have taken maxBatchWork or one changes the equipment, by which the next batch is then decided. It returns the
+// compares that fail if the decisions no longer hold, and the granted requests.
 func (s *Service) decideRequests(
 	env Env, inFlight *inFlightTxn, requests []*PendingRequest,
 ) (compares []wire.Compare, granted []*PendingRequest) {
+	workLimit := s.schedule.Work() + maxBatchWork
 	for _, request := range requests {
 		response, more := s.decideRequest(env, inFlight.draft, request)
 		inFlight.responses = append(inFlight.responses, response)
@@ -144,7 +144,7 @@
 			inFlight.newInventory = request.Request.Replacement
 			break
 		}
-		if len(compares)+reservedCompares > env.MaxCompares {
+		if len(compares)+reservedCompares > env.MaxCompares || s.schedule.Work() > workLimit {
 			break
 		}
 	}
@@ -199,15 +199,8 @@
 	env Env, draft *booking.Draft, pending *PendingRequest,
 ) (Response, []wire.Compare) {
 	request := &pending.Request
-	if request.Verb == booking.VerbCreate || request.Verb == booking.VerbMove {
-		wants, err := ResolveWants(s.inventory, pending.Wants, pending.RecurrenceRule)
-		if err != nil {
-			return Response{
-				Request: pending,
-				Result:  booking.Result{Outcome: booking.OutcomeInvalid, Reason: err.Error()},
-			}, nil
-		}
-		request.Wants = wants
+	if err := ValidateSlots(pending.Wants); err != nil {
+		return invalidRequest(pending, err), nil
 	}
 	existing := s.schedule.Get(request.ID)
 	var archiveCompares []wire.Compare // fail once the archive has a reservation with this ID
@@ -222,7 +215,7 @@
 	if existing != nil {
 		team = existing.Team
 	}
-	compares, denial := env.Authorize(pending, team, s.equipmentKinds(existing, request.Wants))
+	compares, denial := env.Authorize(pending, team, s.equipmentKinds(existing, pending.Wants))
 	compares = append(compares, archiveCompares...)
 	if denial != "" {
 		return Response{
@@ -230,42 +223,73 @@
 			Result:  booking.Result{Outcome: booking.OutcomeForbidden, Reason: denial},
 		}, compares
 	}
+	if request.Verb == booking.VerbCreate || request.Verb == booking.VerbMove {
+		if pending.Series != nil {
+			s.schedule.AddSeriesWork(len(pending.Wants))
+		}
+		wants, err := ResolveWants(s.inventory, pending.Wants, pending.Series)
+		if err != nil {
+			return invalidRequest(pending, err), compares
+		}
+		request.Wants = wants
+	}
 	return Response{Request: pending, Result: s.inventory.Decide(draft, env.UnixS, request)}, compares
 }
 
-// equipmentKinds returns the kinds of equipment of the slots of an existing reservation, if any, and of the wants,
-// sorted and without duplicates.
-func (s *Service) equipmentKinds(existing *pb.Booking, wants []*pb.Want) []string {
+// invalidRequest returns the response to a request that is invalid in itself.
+func invalidRequest(pending *PendingRequest, err error) Response {
+	return Response{
+		Request: pending,
+		Result:  booking.Result{Outcome: booking.OutcomeInvalid, Reason: err.Error()},
+	}
+}
+
+// equipmentKinds returns the kinds of equipment of the slots of an existing reservation, if any, and of the requested
+// slots, sorted and without duplicates.
+func (s *Service) equipmentKinds(existing *pb.Booking, requested []wire.SlotRequest) []string {
 	var kinds []string
 	for _, slot := range existing.GetSlots() {
 		kinds = append(kinds, s.inventory.ItemKind(slot.Piece))
 	}
-	for _, want := range wants {
-		kinds = append(kinds, s.inventory.WantKind(want))
+	for _, slot := range requested {
+		kinds = append(kinds, s.inventory.WantKind(&pb.Want{Piece: slot.Equipment, Kind: slot.Kind}))
 	}
 	slices.Sort(kinds)
 	return slices.Compact(kinds)
 }
 
-// ResolveWants translates requested slots to wants of the equipment in force, one for each recurrence of each slot.
-func ResolveWants(
-	inventory *booking.Inventory, requested []wire.SlotRequest, rule string,
-) (out []*pb.Want, err error) {
-	for _, slot := range requested {
+// ValidateSlots returns an error if the requested slots are invalid, whatever the equipment in force.
+func ValidateSlots(requested []wire.SlotRequest) error {
+	if len(requested) > booking.MaxWants {
+		return fmt.Errorf("%d slots, must be from 1 to %d", len(requested), booking.MaxWants)
+	}
+	for i, slot := range requested {
 		if (slot.Equipment == "") == (slot.Kind == "") {
-			return nil, errors.New("a slot names a piece of equipment or a kind")
+			return fmt.Errorf("slots[%d]: a slot names a piece of equipment or a kind", i)
 		}
+	}
+	return nil
+}
+
+// ResolveWants translates requested slots to wants of the equipment in force, one for each recurrence of each slot. It
+// stops as soon as there are too many.
+func ResolveWants(
+	inventory *booking.Inventory, requested []wire.SlotRequest, series *booking.SeriesRule,
+) (out []*pb.Want, err error) {
+	for i, slot := range requested {
 		want := &pb.Want{Piece: slot.Equipment, Kind: slot.Kind, Zone: slot.Zone, Slots: max(1, slot.Slots)}
 		if want.From, err = inventory.ParseTime(slot.From); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("slots[%d].from: %w", i, err)
 		}
 		wants := []*pb.Want{want}
-		if rule != "" {
-			if wants, err = inventory.ExpandRecurrence(want, rule); err != nil {
-				return nil, err
+		if series != nil {
+			if wants, err = inventory.ExpandSeries(want, series); err != nil {
+				return nil, fmt.Errorf("repeat: %w", err)
 			}
 		}
-		out = append(out, wants...)
+		if out = append(out, wants...); len(out) > booking.MaxWants {
+			return nil, fmt.Errorf("%d slots, must be from 1 to %d", len(out), booking.MaxWants)
+		}
 	}
 	return out, nil
 }
--- a/core/reservations/pages.go
+++ b/core/reservations/pages.go
@@ -111,21 +111,27 @@
 }
 
 // applyInventory puts a stored equipment list in force. If the list can't be decoded, the previous one stays in
-// force, but the new revision is remembered so that the list can be replaced.
+// force, but the new revision is remembered so that the list can be replaced. If only some items are invalid, these
+// are out of use and the error names them.
 func (s *Service) applyInventory(raw json.RawMessage, revision uint64) error {
 	if revision <= s.inventoryRevision {
 		return nil
 	}
 	var equipment pb.Equipment
 	err := DecodeInventory(raw, &equipment)
-	if err == nil {
-		var inventory *booking.Inventory
-		if inventory, err = booking.NewInventory(&equipment); err == nil {
-			s.inventory = inventory
-		}
-	}
 	s.inventoryRevision = revision
-	return err
+	if err != nil {
+		return err
+	}
+	inventory, invalid, err := booking.LoadInventory(&equipment)
+	if err != nil {
+		return err
+	}
+	s.inventory = inventory
+	if len(invalid) > 0 {
+		return fmt.Errorf("%d items are out of use, the first: %w", len(invalid), invalid[0])
+	}
+	return nil
 }
 
 // applyPage updates the replica of a page.
--- a/core/reservations/service.go
+++ b/core/reservations/service.go
@@ -46,6 +46,10 @@
 	maxSingleRefusals = 2    // by the store, of a batch with one request, before the request is rejected
 	maxQueuedRequests = 2000 // further requests are rejected
 
+	// maxBatchWork bounds the work of a batch, as Schedule.Work measures it, before its last request. The other
+	// requests wait for the next batch, so that leases are renewed meanwhile.
+	maxBatchWork = 100_000
+
 	// reservedCompares is the number of compares in a transaction that are reserved for its last request, the head,
 	// the equipment and a spilled page.
 	reservedCompares = 8
@@ -53,11 +57,11 @@
 
 // PendingRequest is a request that waits for a decision.
 type PendingRequest struct {
-	Request        booking.Request
-	Wants          []wire.SlotRequest // not translated yet: their meaning depends on the equipment in force
-	RecurrenceRule string             // "": the wants don't recur
-	Deadline       time.Duration      // when the request expires if it is still undecided
-	CallerData     any                // opaque to this package
+	Request    booking.Request
+	Wants      []wire.SlotRequest  // not translated yet: their meaning depends on the equipment in force
+	Series     *booking.SeriesRule // nil: the wants don't recur
+	Deadline   time.Duration       // when the request expires if it is still undecided
+	CallerData any                 // opaque to this package
 }
 
 // Env is the environment in which a batch is decided.
--- a/core/reservations_test.go
+++ b/core/reservations_test.go
@@ -9,6 +9,7 @@
 
 	"dewlift/booking"
 	"dewlift/core/reservations"
+	pb "dewlift/proto"
 	"dewlift/wire"
 )
 
@@ -40,6 +41,7 @@
 // queued.
 func TestUnstorableReservationIsRefusedAtOnce(t *testing.T) {
 	c := newAuditingCoreWithEquipment(t)
+	grantToPotter(t, c, 3000, pb.Verb_equip) // a list is parsed only for a caller who may set it
 	long := strings.Repeat("é", 101)
 	var items strings.Builder
 	for i := range 3000 {
@@ -52,7 +54,7 @@
 		{"team", "team: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-1", Team: long}}},
 		{"team of no UTF-8", "team: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-1", Team: "a\xff"}}},
 		{"id", "id: ", ReserveEquipment{Request: wire.ReservationRequest{ID: "r-\x00"}}},
-		{"equipment", "equipment: ", SetEquipment{Edit: wire.EquipmentEdit{Text: items.String()}}},
+		{"equipment", "equipment: ", SetEquipment{Caller: potter, Edit: wire.EquipmentEdit{Text: items.String()}}},
 	} {
 		c.Handle(10*time.Second, tt.input)
 		responses := outputsOfType[Response](c.Advance(10 * time.Second))
@@ -62,3 +64,29 @@
 		}
 	}
 }
+
+// A caller without permission must learn nothing of how a list or a date is judged: both were evaluated before the
+// permission was asked for, so that anybody could keep the event loop busy.
+func TestPermissionIsAskedBeforeInputIsEvaluated(t *testing.T) {
+	for name, in := range map[string]Input{
+		"equipment": SetEquipment{
+			RequestID: deniedRequestID, Caller: potter, Edit: wire.EquipmentEdit{Text: "no list"},
+		},
+		"classes": SetPriorityClasses{RequestID: deniedRequestID, Caller: potter, Text: "no list"},
+		"date": ReserveEquipment{RequestID: deniedRequestID, Caller: potter, Request: wire.ReservationRequest{
+			ID: "r-1", Team: "t", Slots: []wire.SlotRequest{{Equipment: "k", From: "0000-01-01T00:00"}},
+		}},
+	} {
+		c := newAuditingCoreWithEquipment(t)
+		c.Handle(deniedRequestAt, in)
+		statuses, writes := responsesAndWrites(c, 20*time.Second)
+		if !slices.Equal(statuses, []wire.Status{wire.StatusForbidden}) {
+			t.Errorf("%s: statuses %v, want one %v", name, statuses, wire.StatusForbidden)
+		}
+		for _, write := range writes {
+			if write.Put == reservations.KeyInventory || write.Put == reservations.KeyHead {
+				t.Errorf("%s: a denied request writes %s", name, write.Put)
+			}
+		}
+	}
+}
--- a/internal/sim/reservations.go
+++ b/internal/sim/reservations.go
@@ -372,7 +372,7 @@
 
 // recordRequested records the slots that a reservation is requested with.
 func (c *reservationChecker) recordRequested(id string, slots []wire.SlotRequest) {
-	wants, err := reservations.ResolveWants(c.inventory, slots, "")
+	wants, err := reservations.ResolveWants(c.inventory, slots, nil)
 	if err != nil {
 		panic(err) // all requested slots are valid
 	}
