--- a/booking/recurrence.go
+++ b/booking/recurrence.go
@@ -55,8 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if rule.options.Count < 1 {
-		return nil, fmt.Errorf("COUNT is missing, must be from 1 to %d", MaxWants)
+	if count := rule.options.Count; count < 1 || count > MaxWants {
+		return nil, fmt.Errorf("COUNT=%d, must be from 1 to %d", count, MaxWants)
 	}
 	return &SeriesRule{rule}, nil
 }
@@ -99,7 +99,6 @@
 		allowZero       bool
 	}{
 		{"INTERVAL", []int{r.options.Interval}, 0, maxInterval, true},
-		{"COUNT", []int{r.options.Count}, 0, MaxWants, true},
 		{"BYSETPOS", r.options.Bysetpos, -maxYearDays, maxYearDays, false},
 		{"BYMONTH", r.options.Bymonth, 1, 12, false},
 		{"BYMONTHDAY", r.options.Bymonthday, -31, 31, false},
@@ -108,9 +107,11 @@
 		{"BYEASTER", r.options.Byeaster, minDaysAfterEaster, maxDaysAfterEaster, true},
 	} {
 		for _, value := range part.values {
-			if value < part.lowest || value > part.highest || value == 0 && !part.allowZero {
-				return fmt.Errorf("%s=%d, must be from %d to %d%s", part.name, value, part.lowest, part.highest,
-					map[bool]string{false: " and not 0"}[part.allowZero || part.lowest > 0])
+			if value < part.lowest || value > part.highest {
+				return fmt.Errorf("%s=%d, must be from %d to %d", part.name, value, part.lowest, part.highest)
+			}
+			if value == 0 && !part.allowZero {
+				return fmt.Errorf("%s=0, must not be 0", part.name)
 			}
 		}
 	}
--- a/core/denials_test.go
+++ b/core/denials_test.go
@@ -100,11 +100,9 @@
 	}
 }
 
-// newAuditingCoreWithEquipment returns the controller of newAuditingCore with equipment in force and a queued job
-// of anna.
-func newAuditingCoreWithEquipment(t *testing.T) *Core {
+// putEquipment puts equipmentText in force, at a revision of the store.
+func putEquipment(t *testing.T, c *Core, now time.Duration, revision uint64) {
 	t.Helper()
-	c := newAuditingCore(t)
 	c.schema.active = SchemaVersion
 	inventory, err := booking.Parse([]byte(equipmentText))
 	if err != nil {
@@ -114,8 +112,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := wire.WatchEvent{Put: reservations.KeyInventory, Value: raw, Revision: 2000}
-	watchEvents(c, 1500*time.Millisecond, 2000, list)
+	list := wire.WatchEvent{Put: reservations.KeyInventory, Value: raw, Revision: revision}
+	watchEvents(c, now, revision, list)
+}
+
+// newAuditingCoreWithEquipment returns the controller of newAuditingCore with equipment in force and a queued job
+// of anna.
+func newAuditingCoreWithEquipment(t *testing.T) *Core {
+	t.Helper()
+	c := newAuditingCore(t)
+	putEquipment(t, c, 1500*time.Millisecond, 2000)
 	c.Handle(1500*time.Millisecond, WallClock{UnixMS: 1_700_000_000_000})
 	c.Handle(1500*time.Millisecond, submittedBy(anna, testSubmission("wk-1")))
 	answerAndCollectWrites(t, c, 1500*time.Millisecond, 10*time.Second)
--- a/core/inputs_fuzz_test.go
+++ b/core/inputs_fuzz_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"dewlift/booking"
-	"dewlift/core/reservations"
 	"dewlift/wire"
 )
 
@@ -129,16 +128,7 @@
 func newCoreForInputs(t *testing.T) *Core {
 	t.Helper()
 	c := newLeadingCore(t)
-	c.schema.active = SchemaVersion
-	inventory, err := booking.Parse([]byte(equipmentText))
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := reservations.EncodeInventory(inventory.Source())
-	if err != nil {
-		t.Fatal(err)
-	}
-	watchEvents(c, time.Second, 8, wire.WatchEvent{Put: reservations.KeyInventory, Value: raw, Revision: 8})
+	putEquipment(t, c, time.Second, 8)
 	c.Handle(time.Second, WallClock{UnixMS: 1_800_000_000_000})
 	for _, id := range []string{"wk-1", "wk-2"} {
 		submission := testSubmission(id)
--- a/core/reservations_test.go
+++ b/core/reservations_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"dewlift/booking"
 	"dewlift/core/reservations"
 	pb "dewlift/proto"
 	"dewlift/wire"
@@ -16,17 +15,7 @@
 // An equipment list from a caller without permission must not be written.
 func TestForbiddenEquipmentIsNotWritten(t *testing.T) {
 	c := newCoreWithPermissions(t)
-	c.schema.active = SchemaVersion
-	inventory, err := booking.Parse([]byte(`pieces { name: "k" kind: "kiln" slot_minutes: 1 }`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := reservations.EncodeInventory(inventory.Source())
-	if err != nil {
-		t.Fatal(err)
-	}
-	list := wire.WatchEvent{Put: reservations.KeyInventory, Value: raw, Revision: 11}
-	watchEvents(c, 1150*time.Millisecond, 11, list)
+	putEquipment(t, c, 1150*time.Millisecond, 11)
 	c.Handle(1200*time.Millisecond, WallClock{UnixMS: 1_700_000_000_000})
 	edit := wire.EquipmentEdit{Text: `pieces { name: "other" kind: "kiln" slot_minutes: 1 }`}
 	c.Handle(1200*time.Millisecond, SetEquipment{RequestID: 5, Caller: potter, Edit: edit})
