booking: a long waiting list is served in bounded work

Callers saw: nothing at a site. After each end or move the whole waiting list is searched; each search is bounded, their sum was not: 1,999 reservations that can't be met took 27.7 s of the event loop, in which no lease is renewed. Any user who may book can make them.

Why it works: once the reservations before it have taken maxSearchWork together, each other one has minWaitingWork. The bounds count look-ups, so all controllers decide alike. The candidates of a want are counted once and not at each comparison.

--- a/booking/decide.go
+++ b/booking/decide.go
@@ -171,7 +171,8 @@
 }
 
 // Advance ends the reservations whose time has run out and assigns free units to the waitlist, in its order.
-// Afterwards no waiting reservation can be met, so a later request never takes what a waiting one could have.
+// Afterwards no waiting reservation can be met, so a later request never takes what a waiting one could have. An
+// exception are wants that are too complex to be searched in bounded time, see minWaitingWork.
 func (inv *Inventory) Advance(draft *Draft, now int64) { inv.AdvanceUpTo(draft, now, math.MaxInt) }
 
 // AdvanceUpTo does what Advance does, but ends at most maxEnded reservations. Expired holds come first, the least
@@ -189,6 +190,7 @@
 	for _, reservation := range expired[:ended] {
 		endBooking(draft, now, reservation, "its hold ran out unconfirmed")
 	}
+	workLimit := draft.schedule.work + maxSearchWork
 	for _, reservation := range slices.Clone(draft.schedule.waitlist) {
 		if hasBegun(reservation.Wants, now) {
 			if ended++; ended <= maxEnded {
@@ -196,7 +198,10 @@
 			}
 			continue
 		}
-		slots, _, err := inv.findUnits(draft.schedule, reservation.Id, reservation.Team, reservation.Wants)
+		maxWork := max(minWaitingWork, workLimit-draft.schedule.work)
+		slots, _, err := inv.findUnitsWithin(
+			maxWork, draft.schedule, reservation.Id, reservation.Team, reservation.Wants,
+		)
 		if err == nil {
 			next := nextVersion(reservation)
 			next.Slots, next.Wants = slots, nil
--- a/booking/search.go
+++ b/booking/search.go
@@ -19,6 +19,10 @@
 	// that are looked up. All controllers stop at the same point, which they would not at a time limit.
 	maxSearchWork = 100_000
 
+	// minWaitingWork bounds the search for each waiting reservation once those before it have taken maxSearchWork
+	// together, so that a long waitlist is served in bounded time.
+	minWaitingWork = 1000
+
 	// searchDays is how many days ahead free times are searched.
 	searchDays = 60
 )
@@ -37,7 +41,8 @@
 
 	slots      []*pb.Slot // by want
 	steps      int
-	work       int   // see maxSearchWork
+	work       int // see maxSearchWork
+	maxWork    int
 	bestDepth  int   // the largest number of wants that could be met together
 	failedWant int   // index of the next want, which could not be met in addition
 	failure    error // why it could not be met
@@ -47,6 +52,13 @@
 // met, and the reason as an error.
 func (inv *Inventory) findUnits(
 	schedule *Schedule, id, team string, wants []*pb.Want,
+) (slots []*pb.Slot, failedWant int, err error) {
+	return inv.findUnitsWithin(maxSearchWork, schedule, id, team, wants)
+}
+
+// findUnitsWithin does what findUnits does within a limit of its work.
+func (inv *Inventory) findUnitsWithin(
+	maxWork int, schedule *Schedule, id, team string, wants []*pb.Want,
 ) (slots []*pb.Slot, failedWant int, err error) {
 	search := &unitSearch{
 		inventory: inv,
@@ -56,13 +68,16 @@
 		wants:     wants,
 		slots:     make([]*pb.Slot, len(wants)),
 		bestDepth: -1,
+		maxWork:   maxWork,
 	}
-	for i := range wants {
+	candidateCounts := make([]int, len(wants))
+	for i, want := range wants {
 		search.wantOrder = append(search.wantOrder, i)
+		candidateCounts[i] = len(inv.candidates(want))
 	}
 	slices.SortStableFunc(
 		search.wantOrder,
-		func(a, b int) int { return cmp.Compare(len(inv.candidates(wants[a])), len(inv.candidates(wants[b]))) },
+		func(a, b int) int { return cmp.Compare(candidateCounts[a], candidateCounts[b]) },
 	)
 	found := search.assignFrom(0)
 	schedule.work += search.work
@@ -79,7 +94,7 @@
 var errSearchTooLong = errors.New("there are too many ways to combine these slots: ask for fewer together")
 
 // isTooLong reports whether the search has reached one of its bounds.
-func (x *unitSearch) isTooLong() bool { return x.steps > maxSearchSteps || x.work > maxSearchWork }
+func (x *unitSearch) isTooLong() bool { return x.steps > maxSearchSteps || x.work > x.maxWork }
 
 // assignFrom assigns units to the wants from position depth of wantOrder on, and reports whether it could meet all
 // of them.
