settings: numbers that no duration or limit can hold are refused at the start

Operators saw: nothing at a site. A negative time_bound_ms or list_lag_s, one beyond what a duration holds, and a txn_ops beyond 1e9 were accepted and overflowed later.

Why it works: the file is refused with one line that names the field, as for the other numbers.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -183,6 +183,18 @@
 			return fmt.Errorf("cluster.%s must be greater than 0 and at most 1e9", number.field)
 		}
 	}
+	for _, number := range []struct {
+		field string
+		value float64
+	}{
+		{"cloud.list_lag_s", cluster.Cloud.ListLagS},
+		{"quota.fd_limit", float64(cluster.Quota.FDLimit)},
+		{"time_bound_ms", cluster.TimeBoundMS},
+	} {
+		if !(number.value >= 0 && number.value <= maxPlatformNumber) {
+			return fmt.Errorf("cluster.%s must be from 0 to 1e9", number.field)
+		}
+	}
 	staleness := quorum.MaxStaleness(
 		DurationFromSeconds(cluster.Workers.CancelDeadlineS),
 		DurationFromSeconds(cluster.Workers.AgentLeaseS),
@@ -200,8 +212,8 @@
 
 // validateStoreLimits checks the current and the announced limits of the store.
 func (p *Platform) validateStoreLimits() error {
-	if p.Cluster.State.TxnOps < minTxnOps {
-		return fmt.Errorf("cluster.state.txn_ops must be at least %d", minTxnOps)
+	if ops := p.Cluster.State.TxnOps; ops < minTxnOps || ops > maxPlatformNumber {
+		return fmt.Errorf("cluster.state.txn_ops must be at least %d and at most 1e9", minTxnOps)
 	}
 	next := &p.Cluster.State.Next
 	for _, number := range []struct {
@@ -212,8 +224,8 @@
 			return fmt.Errorf("cluster.state.next.%s must be greater than 0 and at most 1e9", number.field)
 		}
 	}
-	if next.TxnOps != nil && *next.TxnOps < minTxnOps {
-		return fmt.Errorf("cluster.state.next.txn_ops must be at least %d", minTxnOps)
+	if next.TxnOps != nil && (*next.TxnOps < minTxnOps || *next.TxnOps > maxPlatformNumber) {
+		return fmt.Errorf("cluster.state.next.txn_ops must be at least %d and at most 1e9", minTxnOps)
 	}
 	return nil
 }
