--- a/core/inputs_mutation_test.go
+++ b/core/inputs_mutation_test.go
@@ -54,10 +54,12 @@
 			continue // a file
 		}
 		for _, key := range storedKeys {
+			event := fmt.Sprintf(`{"put":%q,"mark":9,"data":%s}`, key, value)
+			row := fmt.Sprintf(`{"k":%q,"mark":9,"data":%s}`, key, value)
 			seeds = append(seeds,
-				inputSeed{inputWatchEvents, fmt.Sprintf(`{"ledger":9,"log":[{"put":%q,"mark":9,"data":%s}]}`, key, value)},
-				inputSeed{inputSnapshot, fmt.Sprintf(`{"ledger":9,"rows":[{"k":%q,"mark":9,"data":%s}]}`, key, value)},
-				inputSeed{inputRange, fmt.Sprintf(`[{"k":%q,"mark":9,"data":%s}]`, key, value)},
+				inputSeed{inputWatchEvents, `{"ledger":9,"log":[` + event + `]}`},
+				inputSeed{inputSnapshot, `{"ledger":9,"rows":[` + row + `]}`},
+				inputSeed{inputRange, "[" + row + "]"},
 			)
 		}
 	}
