core: a list of equipment is denied only after a read barrier

Permissions are asked for before a list is parsed (booking: rules and dates are checked where they enter); by the replica alone a caller whose right was just granted at another controller would be denied.

--- a/core/reservations.go
+++ b/core/reservations.go
@@ -155,19 +155,41 @@
 	}
 }
 
-// handleSetEquipment validates a new equipment list of a permitted caller and queues its replacement. The transaction
-// that stores the list compares the permissions again.
+// handleSetEquipment queues a new equipment list of a caller who may set one. It denies the request only after a read
+// barrier, as the permission may just have been granted at another controller.
 func (c *Core) handleSetEquipment(in SetEquipment) {
 	if !c.canServeReservations(in.RequestID) {
 		return
 	}
-	if c.permissions.isInForce() {
-		if denial := denialReason(c.access.authorize(in.Caller, access.Action{Verb: pb.Verb_equip})); denial != "" {
+	if c.reservations.equipmentDenial(in.Caller) == "" {
+		c.enqueueEquipment(in)
+		return
+	}
+	c.replica.afterReadBarrier(func(ok bool) {
+		denial := c.reservations.equipmentDenial(in.Caller)
+		switch {
+		case !ok:
+			c.respondUnavailable(in.RequestID, reasonStoreUnreachable)
+		case denial != "":
 			verb := reservationAuditVerbs[booking.VerbSetInventory]
 			c.respondForbidden(in.RequestID, in.Caller, verb, equipmentAuditObject, denial)
-			return
+		default:
+			c.enqueueEquipment(in)
 		}
+	})
+}
+
+// equipmentDenial returns why a caller may not set the equipment, or "".
+func (r *reservationState) equipmentDenial(caller Credential) string {
+	if !r.access.permissions.isInForce() {
+		return ""
 	}
+	return denialReason(r.access.authorize(caller, access.Action{Verb: pb.Verb_equip}))
+}
+
+// enqueueEquipment validates a new equipment list and queues its replacement. The transaction that stores the list
+// compares the permissions again.
+func (c *Core) enqueueEquipment(in SetEquipment) {
 	inventory, err := c.parseEquipment(in.Edit.Text)
 	if err != nil {
 		c.respond(
@@ -352,7 +374,7 @@
 		return compares, ""
 	}
 	if request.Request.Verb == booking.VerbSetInventory {
-		return compares, denialReason(r.access.authorize(caller, access.Action{Verb: pb.Verb_equip}))
+		return compares, r.equipmentDenial(caller)
 	}
 	if len(kinds) == 0 {
 		kinds = []string{""} // the reservation does not exist
--- a/core/reservations_test.go
+++ b/core/reservations_test.go
@@ -79,3 +79,16 @@
 		}
 	}
 }
+
+// A permission that was just granted at another controller must count: a caller is denied only after a read barrier.
+func TestEquipmentIsDeniedOnlyAfterAReadBarrier(t *testing.T) {
+	c := newAuditingCoreWithEquipment(t)
+	edit := wire.EquipmentEdit{Text: equipmentText}
+	c.Handle(deniedRequestAt, SetEquipment{RequestID: deniedRequestID, Caller: potter, Edit: edit})
+	grantToPotter(t, c, 3000, pb.Verb_equip)
+	completeBarrier(c, deniedRequestAt)
+	statuses, _ := responsesAndWrites(c, 20*time.Second)
+	if !slices.Equal(statuses, []wire.Status{wire.StatusOK}) {
+		t.Errorf("statuses %v, want one %v", statuses, wire.StatusOK)
+	}
+}
