--- a/api/api_test.go
+++ b/api/api_test.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// The limit of a body must hold for what is decoded too: a small compressed body of many spaces took 1,000 times its size
-// of memory before it was judged.
+// The limit of a body must hold for what is decoded too: a small compressed body of many spaces took 1,000 times its
+// size of memory before it was judged.
 func TestCompressedBodyIsNotExpanded(t *testing.T) {
 	app := newTestApp(&fakeController{})
 	var body bytes.Buffer
