api: a handler takes a request's body once

Each BodyRaw is a copy since values of a request are copies; the handlers of reservations took two, and that of a submission a second one for its error.

--- a/api/reservation.go
+++ b/api/reservation.go
@@ -105,8 +105,8 @@
 func (s *Server) reservationEdit(verb booking.Verb) fiber.Handler {
 	return s.whenEnabled(&s.reservationsEnabled, func(c fiber.Ctx, caller core.Credential) error {
 		in := core.ReserveEquipment{Caller: caller, Verb: verb}
-		if len(c.BodyRaw()) > 0 {
-			if err := json.Unmarshal(c.BodyRaw(), &in.Request); err != nil {
+		if body := c.BodyRaw(); len(body) > 0 {
+			if err := json.Unmarshal(body, &in.Request); err != nil {
 				return badReservationRequest(c, "not a booking: "+err.Error())
 			}
 		}
--- a/api/routes.go
+++ b/api/routes.go
@@ -113,9 +113,10 @@
 // have a job with this id, and it audits the requests that it rejects.
 func (s *Server) submitJob(c fiber.Ctx, caller core.Credential) error {
 	in := core.SubmitJob{Caller: caller, UnixMS: time.Now().UnixMilli()}
-	spec, err := wire.ParseSubmission(c.BodyRaw())
+	body := c.BodyRaw()
+	spec, err := wire.ParseSubmission(body)
 	if err != nil {
-		in.ID, in.DecodeError = wire.PeekJobID(c.BodyRaw()), err.Error()
+		in.ID, in.DecodeError = wire.PeekJobID(body), err.Error()
 	} else {
 		in.ID, in.Spec = spec.ID, spec
 	}
