Tests that fail: a copy of an answered start runs a cleared attempt again

A task ran on two machines at once at production size. The records show a start of the first machine's attempt that was answered, ended by a stop and cleared, all under one fencing token, and 1.3 s after the clear a copy of the start: the agent does not know the attempt any more and carries it out.

--- a/internal/sim/config.go
+++ b/internal/sim/config.go
@@ -41,6 +41,7 @@
 	// A crashed process restarts within a second, while late copies of its requests still arrive. The end is
 	// fault-free, so that lost state shows.
 	FlappingProcesses bool
+	LateCopies        bool // copies of requests that were carried out arrive late, see copyLater
 }
 
 const (
--- a/internal/sim/fake_cloud.go
+++ b/internal/sim/fake_cloud.go
@@ -147,6 +147,7 @@
 	sim := c.sim
 	worker := &fakeWorker{
 		sim: sim, machine: machine, provisionedAt: sim.now, tasks: map[string]*fakeTask{}, images: map[string]bool{},
+		cleared: map[string]bool{},
 	}
 	c.machines = append(c.machines, worker)
 	c.byName[machine.Name] = worker
--- a/internal/sim/fake_worker.go
+++ b/internal/sim/fake_worker.go
@@ -44,6 +44,7 @@
 	interruptionAt    time.Duration        // when a spot machine with notice ends; 0: no notice
 	tasks             map[string]*fakeTask // by task name and attempt
 	images            map[string]bool      // pulled images
+	cleared           map[string]bool      // attempts that were cleared, by task name and attempt
 	controllerIndex   int                  // the controller that gets the next heartbeat
 	heartbeatInFlight bool
 }
@@ -209,6 +210,9 @@
 			sim.send(controller.name, m.machine.Name, func() { finish(response, true) })
 		}
 		sim.deliver(controller, core.AgentHeartbeat{RequestID: requestID, Heartbeat: heartbeat})
+		sim.copyLater(copyRoute{kind: copyHeartbeat, from: m.machine.Name, to: controller.name}, func() {
+			sim.deliverHeartbeatCopy(controller, heartbeat)
+		})
 	})
 }
 
@@ -259,6 +263,7 @@
 		switch command.Op {
 		case wire.OpStart:
 			if task == nil {
+				m.checkNotCleared(key)
 				m.startTask(key, command)
 			}
 		case wire.OpStop:
@@ -268,11 +273,20 @@
 		case wire.OpClear:
 			if task != nil && task.stage == wire.TaskExited {
 				delete(m.tasks, key)
+				m.cleared[key] = true
 			}
 		}
 	}
 }
 
+// checkNotCleared reports a start of an attempt that was cleared: the attempt is over, so only a late copy of its
+// start command can cause that.
+func (m *fakeWorker) checkNotCleared(key string) {
+	if m.cleared[key] {
+		m.sim.Checker.violated("started_again", "%s starts on %s after it was cleared there", key, m.machine.Name)
+	}
+}
+
 // exitTask ends an attempt with a cause.
 func (m *fakeWorker) exitTask(task *fakeTask, cause string) {
 	m.reportTaskStopped(task)
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -7,11 +7,12 @@
 	"dewlift/core"
 )
 
-// storeAddress and cloudAddress are the network names of the fake store and the fake cloud. Controllers and
-// machines are addressed by their own names.
+// storeAddress, cloudAddress and userAddress are the network names of the fake store, the fake cloud and the users.
+// Controllers and machines are addressed by their own names.
 const (
 	storeAddress = "state"
 	cloudAddress = "cloud"
+	userAddress  = "user"
 )
 
 // send delivers a message after a random network delay. The message is lost if the receiver's inbound traffic is
@@ -179,5 +180,11 @@
 			s.schedule(linkDelay(), func() { finish(response, true) })
 		}
 		s.deliver(target, newInput(requestID))
+		s.copyLater(copyRoute{kind: copyUserRequest, from: userAddress, to: target.name}, func() {
+			if !target.down {
+				s.lastRequestID++ // nobody waits for the response
+				s.deliver(target, newInput(s.lastRequestID))
+			}
+		})
 	})
 }
--- a/internal/sim/outputs.go
+++ b/internal/sim/outputs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dewlift/core"
+	"dewlift/wire"
 )
 
 // Timeouts of a controller's requests.
@@ -55,7 +56,7 @@
 		s.call(
 			rpcRequest{from: n.name, to: storeAddress, timeout: leaseTimeout, delay: s.randomDelay(lateLeaseShare)},
 			core.LeaseResult{Op: output.Op},
-			func() core.Input { return s.store.serveLease(n.name, output) }, deliver)
+			func() core.Input { return s.serveLease(n, output) }, deliver)
 	case core.SendCommands:
 		s.sendCommands(n, output, deliver)
 	case core.PollAgent:
@@ -64,7 +65,7 @@
 		s.call(
 			rpcRequest{from: n.name, to: cloudAddress, timeout: cloudTimeout, delay: s.randomDelay(lateCloudShare)},
 			core.CloudResult{ID: output.ID},
-			func() core.Input { return s.cloud.serve(output) }, deliver)
+			func() core.Input { return s.serveCloud(n, output) }, deliver)
 	case core.LogLine:
 		s.Trace("%v %s %s %v", s.now, n.name, output.Message, output.Args)
 	}
@@ -90,6 +91,7 @@
 			}
 		}
 		s.send(n.name, peer.name, arrive)
+		s.copyLater(copyRoute{kind: copyPeerMessage, from: n.name, to: peer.name}, arrive)
 		// A duplicate may arrive after its sender or receiver has restarted.
 		if s.options.FlappingProcesses && s.chance(0.01) {
 			s.schedule(s.randomDuration(0, 3*time.Second), arrive)
@@ -126,6 +128,11 @@
 		from: n.name, to: storeAddress, timeout: storeTimeout, delay: max(delay, s.randomDelay(lateShare)),
 	}, func() time.Duration {
 		result.Status, result.Reply = s.store.commit(n.name, output.Txn)
+		if result.Status == wire.StatusOK {
+			s.copyLater(copyRoute{kind: copyTxn, from: n.name, to: storeAddress}, func() {
+				s.store.commit(n.name, output.Txn)
+			})
+		}
 		return responseDelay
 	}, func(ok bool) {
 		if !ok {
@@ -147,10 +154,29 @@
 		if worker != nil && !worker.gone {
 			result.Status, result.Heartbeat = worker.handleCommands(output.Batch)
 		}
+		if result.Status == wire.StatusOK {
+			s.copyLater(copyRoute{kind: copyCommands, from: n.name, to: output.Machine}, func() {
+				worker.handleCommands(output.Batch)
+			})
+		}
 		return result
 	}, deliver)
 }
 
+// serveLease has the store serve a lease request.
+func (s *Simulator) serveLease(n *node, output core.LeaseRequest) core.Input {
+	s.copyLater(copyRoute{kind: copyLease, from: n.name, to: storeAddress}, func() {
+		s.store.serveLease(n.name, output)
+	})
+	return s.store.serveLease(n.name, output)
+}
+
+// serveCloud has the cloud serve a request.
+func (s *Simulator) serveCloud(n *node, output core.CloudRequest) core.Input {
+	s.copyLater(copyRoute{kind: copyCloudRequest, from: n.name, to: cloudAddress}, func() { s.cloud.serve(output) })
+	return s.cloud.serve(output)
+}
+
 // pollAgent asks an agent for its status.
 func (s *Simulator) pollAgent(n *node, output core.PollAgent, deliver func(core.Input)) {
 	worker := s.cloud.find(output.Machine)
--- a/internal/sim/simulator.go
+++ b/internal/sim/simulator.go
@@ -46,6 +46,7 @@
 	queuedMessages map[[2]string][]func()
 	lastRequestID  uint64
 	teams          []core.Team
+	copies         map[copyKind]int // late copies that reached their receiver
 
 	auditChecker *auditChecker
 	reservations *reservationChecker
@@ -83,6 +84,7 @@
 		rng:                  rand.New(rand.NewPCG(options.Seed, 77)),
 		partitioned:          map[[2]string]bool{},
 		queuedMessages:       map[[2]string][]func(){},
+		copies:               map[copyKind]int{},
 		commitDelay:          func(wire.Txn) time.Duration { return 0 },
 		commandDelay:         func(core.SendCommands) time.Duration { return 0 },
 		onHeartbeat:          func(*wire.Heartbeat) {},
