core: an attempt is cleared only under a higher token than that of its start

What callers saw: a task ran on two machines at once, after its first attempt had been stopped and cleared and a copy of that attempt's start, answered 8.5 s before, reached the machine once more. A cancelled, done or refused attempt could start again in the same way.

Cause: an answer was taken as proof that a start will not be executed any more (noStartPending). It proves that it was executed once. A start stays valid until the agent has accepted a higher fencing token, or has a later incarnation, and a clear removes what else makes a copy harmless.

Change: areStartsFenced is the one rule for clears, proof by absence, cancellations, tasks of unknown jobs and the eviction of attempts: the token must be higher than that of each start. The token is raised once ended tasks have waited for an agent's lease, by the leader first; one write serves all machines and owners. Stops wait for nothing. A start that was rejected for its token goes out again once the token is known. Logs and counters tell tokens, claims, raises, rejected commands and proofs by absence.

--- a/core/apply.go
+++ b/core/apply.go
@@ -64,6 +64,9 @@
 		return err
 	}
 	if revision >= c.leadership.fencingTokenRevision {
+		if token != c.leadership.fencingToken {
+			c.log(LevelInfo, "fencing token changed", "token", token, "revision", revision)
+		}
 		c.leadership.fencingToken, c.leadership.fencingTokenRevision = token, revision
 	}
 	return nil
--- a/core/cancelenforcement.go
+++ b/core/cancelenforcement.go
@@ -57,19 +57,16 @@
 	}
 }
 
-// enforceCancellations raises the fencing token to invalidate unanswered starts of cancelled tasks, and
-// returns the names of the machines that did not confirm in time that such a task is gone.
+// enforceCancellations raises the fencing token to invalidate late starts of cancelled tasks, and returns the names of
+// the machines that did not confirm in time that such a task is gone.
 func (c *Core) enforceCancellations() (overdue []string) {
 	maxAge := c.cancelAcks.timeoutShare(c.cfg.Agents.CancelScaleInShare)
 	c.forEachUnconfirmedStop(func(j *job, assignment jobrecord.Assignment, host *machine, age time.Duration) {
 		if !c.ownership.ownsJob(j) {
 			return
 		}
-		attempt := host.commands.attempts[attemptKey{j.index, assignment.Task, assignment.Attempt}]
-		if attempt != nil && attempt.maxUnansweredToken != 0 &&
-			host.status.fencingToken <= attempt.maxUnansweredToken &&
-			c.leadership.fencingToken <= attempt.maxUnansweredToken {
-			c.raiseFencingToken()
+		if c.mayStartLate(host, attemptKey{j.index, assignment.Task, assignment.Attempt}) {
+			c.raiseFencingToken(raiseForCancelled)
 		}
 		if age > maxAge {
 			overdue = append(overdue, host.name)
--- a/core/core.go
+++ b/core/core.go
@@ -67,8 +67,11 @@
 
 	overload    overload.State
 	maintenance maintenanceState
-	lateStarts  lateStartLog
 	stalls      stallDetector
+
+	lateStartLog       logLimiter
+	commandConflictLog logLimiter
+	absenceProofLog    logLimiter
 }
 
 // stallDetector detects pauses of this process. A heartbeat that is missing because of a pause does
@@ -148,6 +151,7 @@
 	c.commands.environment, c.commands.agents, c.commands.controllers = c.environment, &c.agents, &c.controllers
 	c.commands.inFlight = map[uint64]inFlightCommands{}
 	c.commands.relayed = map[uint64]relayedCommands{}
+	c.commands.fenceWaiters.machines = map[int32]bool{}
 	c.autoscaler.environment = c.environment
 	c.autoscaler.pendingCalls = map[uint64]func(CloudResult){}
 }
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -33,6 +33,7 @@
 	nextScaleInRequestAt time.Duration               // when the leader is next asked to scale in machines
 	inFlight             map[uint64]inFlightCommands // by request ID
 	relayed              map[uint64]relayedCommands  // by the ID of this controller's request
+	fenceWaiters         fenceWaiters
 }
 
 // inFlightCommands is a command request whose outcome is not known yet.
@@ -55,6 +56,7 @@
 // machines that probably do not respond.
 func (c *Core) dispatchCommands() {
 	c.expireRelayedCommands()
+	c.releaseFenceWaiters()
 	if !c.ownLease.isHeld() && !c.isStoreOutage() {
 		return
 	}
@@ -82,6 +84,7 @@
 		m.commands.inDirtyList = needsRecheck || m.commands.requestID != 0
 		return !m.commands.inDirtyList
 	})
+	c.raiseTokenForWaiters()
 }
 
 // countUnresponsiveRequests counts the requests in flight to machines that probably do not respond. machines
@@ -118,6 +121,7 @@
 	plan.collectUnassigned()
 	plan.collectClears()
 	plan.evictOldAttempts()
+	c.commands.fenceWaiters.update(m, plan.waitingForFence, c.now)
 	if len(plan.commands) == 0 {
 		return plan.needsRecheck
 	}
@@ -133,6 +137,10 @@
 	starts       []attemptKey // attempts that the commands start
 	clears       []attemptKey // ended attempts that the agent may clear
 	needsRecheck bool         // the machine must be examined again, even without a change
+
+	// waitingForFence counts the attempts that can be cleared or evicted only under a higher fencing token. An
+	// increment of the token marks the machine dirty.
+	waitingForFence int
 }
 
 // plannedCommand is a command with the attempt that it is for.
@@ -166,7 +174,9 @@
 		return
 	}
 	if p.add(wire.OpStart, key) {
-		p.machine.commands.attemptOf(key).startInFlight = true
+		started := p.machine.commands.attemptOf(key)
+		started.startInFlight = true
+		started.maxStartToken = max(started.maxStartToken, c.leadership.fencingToken)
 		p.starts = append(p.starts, key)
 		c.Stats.TaskStarts++
 	}
@@ -218,13 +228,15 @@
 		if _, assigned := m.currentAssignment(key); assigned || !c.ownership.ownsJob(j) {
 			continue
 		}
-		p.needsRecheck = true
-		if j.write.inFlight || j.write.outcomeUnknown || !c.noStartPending(m, j, key) {
+		if j.write.inFlight || j.write.outcomeUnknown || j.revision == 0 && !c.isOrphan(m, j, key) {
+			p.needsRecheck = true
 			continue
 		}
-		if j.revision == 0 && !c.isOrphan(m, j, key) {
+		if status.state == wire.TaskExited && !c.mayClear(m, j, key) {
+			p.waitingForFence++
 			continue
 		}
+		p.needsRecheck = true
 		m.commands.allowImmediateResend(key)
 		if status.state == wire.TaskExited {
 			p.clears = append(p.clears, key)
@@ -249,12 +261,14 @@
 		return
 	}
 	for _, key := range p.clears {
-		p.add(wire.OpClear, key)
+		if p.add(wire.OpClear, key) {
+			c.Stats.TaskClears++
+		}
 	}
 }
 
-// evictOldAttempts evicts the state of attempts that are neither assigned nor reported, once no start
-// command for them can be executed any more.
+// evictOldAttempts evicts the state of attempts that are neither assigned nor reported, once the agent rejects
+// their starts.
 func (p *commandPlan) evictOldAttempts() {
 	c, m := p.core, p.machine
 	for key, attempt := range m.commands.attempts {
@@ -269,8 +283,11 @@
 		if assigned && assignment.Attempt == key.attempt {
 			continue
 		}
-		if attempt.maxUnansweredToken < m.status.fencingToken || attempt.maxUnansweredToken == 0 {
+		switch {
+		case attempt.isFencedBy(m.status.fencingToken):
 			delete(m.commands.attempts, key)
+		case !attempt.isFencedBy(c.leadership.fencingToken):
+			p.waitingForFence++
 		}
 	}
 }
@@ -292,9 +309,13 @@
 // batch starts.
 func (d *commandDispatch) send(m *machine, batch wire.CommandBatch, starts []attemptKey) {
 	id := d.nextID()
-	m.commands.requestID, m.commands.requestToken, m.commands.requestAttempts = id, batch.FencingToken, starts
+	m.commands.requestID, m.commands.requestAttempts = id, starts
 	request := SendCommands{ID: id, Machine: m.name, Addr: m.identity.address, Batch: batch}
-	if peer := d.relayPeer(m); peer != "" {
+	peer := d.relayPeer(m)
+	d.log(LevelDebug, "sending commands", "machine", m.name, "token", batch.FencingToken,
+		"agent_token", m.status.fencingToken, "incarnation", batch.Incarnation, "seq", m.status.heartbeatSeq,
+		"relay", peer, "commands", batch.Commands)
+	if peer != "" {
 		d.inFlight[id] = inFlightCommands{m.index, d.now + d.cfg.Cluster.RelayTimeout}
 		d.emit(SendToPeer{Peer: peer, Message: Message{Commands: &request}})
 		return
@@ -333,6 +354,10 @@
 		c.replica.afterReadBarrier(func(ok bool) {
 			attempt.orphanCheckInFlight = false
 			attempt.isOrphan = ok && j.revision == 0
+			if attempt.isOrphan {
+				// Its starts were sent by an unknown controller, under no higher token than the current one.
+				attempt.maxStartToken = max(attempt.maxStartToken, c.leadership.fencingToken)
+			}
 			c.commands.markDirty(m)
 		})
 	}
@@ -361,7 +386,7 @@
 	}
 	delete(c.commands.inFlight, in.ID)
 	m := c.machines[request.machineIndex]
-	m.commands.recordRequestOutcome(in, c.now)
+	starts := m.commands.recordRequestOutcome(in.Status, c.now)
 	c.commands.markDirty(m)
 	if in.Heartbeat != nil && in.Heartbeat.Machine == m.name {
 		c.applyHeartbeat(in.Heartbeat, true)
@@ -369,10 +394,8 @@
 	switch in.Status {
 	case wire.StatusOK:
 	case wire.StatusConflict:
-		m.commands.nextSendAt = c.now + conflictBackoff
-		if in.Heartbeat != nil && in.Heartbeat.FencingToken > c.leadership.fencingToken {
-			c.replica.afterReadBarrier(func(bool) {})
-		}
+		m.commands.allowStartsAgain(starts)
+		c.resendAfterConflict(m, in.Heartbeat)
 	default:
 		m.commands.nextSendAt = c.now + c.cfg.Agents.CommandRetryInterval
 	}
@@ -388,32 +411,20 @@
 	c.controllers.sendToPeers(relayed.peer, Message{CommandsResult: &in})
 }
 
-// recordRequestOutcome records the outcome of the request that was in flight.
-func (s *machineCommands) recordRequestOutcome(in CommandsResult, now time.Duration) {
+// recordRequestOutcome records the outcome of the request that was in flight, and returns the attempts that it starts.
+func (s *machineCommands) recordRequestOutcome(status wire.Status, now time.Duration) (starts []attemptKey) {
 	s.requestID = 0
-	if in.Status == wire.StatusNoResponse {
+	if status == wire.StatusNoResponse {
 		s.unanswered++
 		s.lastUnansweredAt = now
 	} else {
 		s.unanswered = 0
 	}
-	s.recordStartOutcomes(in)
-}
-
-// recordStartOutcomes records the outcome of the starts in the request that was in flight. The starts of an
-// unanswered request may be executed late, until the machine has seen a higher fencing token than that of the
-// request.
-func (s *machineCommands) recordStartOutcomes(in CommandsResult) {
-	answered := in.Status == wire.StatusOK || in.Status == wire.StatusConflict || !in.MaybeDelivered
-	for _, key := range s.requestAttempts {
-		attempt := s.attempts[key]
-		if attempt == nil {
-			continue
-		}
-		attempt.startInFlight = false
-		if !answered {
-			attempt.maxUnansweredToken = max(attempt.maxUnansweredToken, s.requestToken)
+	starts, s.requestAttempts = s.requestAttempts, nil
+	for _, key := range starts {
+		if sent := s.attempts[key]; sent != nil {
+			sent.startInFlight = false
 		}
 	}
-	s.requestAttempts = nil
+	return starts
 }
--- a/core/heartbeats.go
+++ b/core/heartbeats.go
@@ -202,8 +202,8 @@
 	for i := range reported {
 		c.updateTaskStatus(m, &reported[i], next)
 	}
-	for k := range m.status.tasks { // the remaining ones are not reported any more
-		c.markDirty(c.jobs[k.jobIndex])
+	for _, unreported := range m.sortedAttemptKeys() { // those that updateTaskStatus left
+		c.markDirty(c.jobs[unreported.jobIndex])
 	}
 	m.status.tasks = next
 }
@@ -280,8 +280,6 @@
 		return
 	}
 	m.status.fencingToken = token
-	m.status.lastChangeAt = c.now
-	c.commands.markDirty(m)
 	for _, assignment := range m.sortedAssignments() {
 		if j := c.jobs[assignment.jobIndex]; j.isFinal() {
 			c.markDirty(j)
--- a/core/latestarts.go
+++ b/core/latestarts.go
@@ -2,23 +2,12 @@
 
 import "time"
 
-const (
-	// lateStartThreshold is the time from the acceptance of a job to its first running task at which the
-	// start counts as late and is logged.
-	lateStartThreshold = time.Minute
-	// lateStartLogInterval is the least time between two log lines about late starts. The jobs in between are
-	// counted.
-	lateStartLogInterval = time.Second
-)
+// lateStartThreshold is the time from the acceptance of a job to its first running task at which the start
+// counts as late and is logged.
+const lateStartThreshold = time.Minute
 
-// lateStartLog limits the log lines about late starts. The lines show why jobs started late; operators
-// otherwise see only how long users waited.
-type lateStartLog struct {
-	nextAt     time.Duration
-	suppressed int // late starts since the last log line
-}
-
-// recordTaskRunning records that a task of a job is running, and logs the job's first one if it started late.
+// recordTaskRunning records that a task of a job is running, and logs the job's first one if it started late:
+// operators otherwise see only how long users waited.
 // Only the controller that placed tasks of the job logs it: one that took the job over does not know whether
 // it ran before.
 func (c *Core) recordTaskRunning(j *job) {
@@ -30,12 +19,11 @@
 	if waited < lateStartThreshold || j.placement.lastPlacedMS == 0 || !c.ownership.ownsJob(j) {
 		return
 	}
-	if c.now < c.lateStarts.nextAt {
-		c.lateStarts.suppressed++
+	suppressed, ok := c.lateStartLog.allow(c.now)
+	if !ok {
 		return
 	}
 	c.log(LevelInfo, "job started late", "job", j.id, "class", j.record.Spec.Class, "tasks", j.record.Spec.Tasks,
 		"after_ms", waited.Milliseconds(), "placed_ms", j.placedAfterMS(), "attempts", j.record.LastAttempt,
-		"why", j.record.StopReasons, "others", c.lateStarts.suppressed)
-	c.lateStarts = lateStartLog{nextAt: c.now + lateStartLogInterval}
+		"why", j.record.StopReasons, "others", suppressed)
 }
--- a/core/leader.go
+++ b/core/leader.go
@@ -130,6 +130,7 @@
 // do not affect the next term.
 func (c *Core) endTerm() {
 	if c.leaderState != nil {
+		c.log(LevelInfo, "leadership ended", "token", c.leaderState.fencingToken)
 		c.leaderState.ended = true
 		c.leaderState = nil
 	}
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -38,14 +38,16 @@
 }
 
 // raiseFencingToken increments the fencing token. A machine that has seen the new token rejects commands
-// with an older one that are still in flight to it.
-func (c *Core) raiseFencingToken() {
+// with an older one that are still in flight to it. why is logged.
+func (c *Core) raiseFencingToken(why string) {
 	if c.leadership.raiseInFlight || c.ownership.claimInFlight || c.now < c.leadership.nextRaiseAt ||
 		!c.ownLease.isHeld() || c.transactions.rateLimit.IsPaused(c.now) {
 		return
 	}
 	c.leadership.raiseInFlight = true
 	c.leadership.nextRaiseAt = c.now + tokenRaiseInterval
+	c.Stats.TokenRaises++
+	c.log(LevelInfo, "raising fencing token", "token", c.leadership.fencingToken+1, "why", why)
 	txn := wire.Txn{
 		Compare: []wire.Compare{{Key: keyFencingToken, Revision: c.leadership.fencingTokenRevision}},
 		Then: []wire.Write{
--- a/core/machine.go
+++ b/core/machine.go
@@ -62,7 +62,6 @@
 	lastUnansweredAt time.Duration // time of the last request without a response
 	attempts         map[attemptKey]*attempt
 	requestID        uint64       // of the request in flight; 0: none
-	requestToken     uint64       // fencing token of that request
 	requestAttempts  []attemptKey // attempts that the request in flight starts
 	unanswered       int          // number of consecutive requests without a response
 	nextSendAt       time.Duration
@@ -112,9 +111,9 @@
 // attempt is what this controller knows of the commands that it sent for an attempt of a task.
 type attempt struct {
 	startInFlight bool // the request in flight contains a start of the attempt
-	// Highest fencing token of an unanswered request with a start of the attempt, which may be executed late
-	// until the machine has seen a higher token; 0: there is none.
-	maxUnansweredToken  uint64
+	// Highest fencing token under which a start of the attempt may have been sent by this process, answered or
+	// not; 0: there is none. See areStartsFenced.
+	maxStartToken       uint64
 	lastCommandAt       time.Duration // when a command for the attempt was last sent
 	commandSent         bool          // the next command must wait for the retry interval after lastCommandAt
 	stopReason          string        // why the attempt must be stopped; "": it need not be
@@ -202,6 +201,7 @@
 		return
 	}
 	m.lifecycle.gone = true
+	c.commands.fenceWaiters.remove(m)
 	c.clusterCopy.state.Remove(m.index)
 	c.markTasksLost(m)
 	if c.leaderState != nil {
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -292,9 +292,13 @@
 	c, onAuditOutcome := a.core, a.onAuditOutcome
 	c.ownership.claimInFlight = true
 	c.ownership.nextClaimAt = c.now + claimInterval
-	c.transactions.commit(a.txn, &pendingTxn{onDone: func(status wire.Status, _ wire.TxnResponse) {
+	claims := describeClaims(a.shards, a.leadership)
+	c.transactions.commit(a.txn, &pendingTxn{onDone: func(status wire.Status, reply wire.TxnResponse) {
 		c.ownership.claimInFlight = false
 		onAuditOutcome(status)
+		if claims != "" {
+			c.log(LevelInfo, "claimed ownership", "claims", claims, "status", status, "revision", reply.Revision)
+		}
 		if status != wire.StatusOK {
 			c.ownership.nextClaimAt = c.now + claimInterval + c.jitter(claimRetryJitter)
 		}
--- a/core/proposal.go
+++ b/core/proposal.go
@@ -295,6 +295,9 @@
 			u.proposal.assignments = append(u.proposal.assignments, assignment)
 			continue
 		}
+		if cause == causeNotStarted {
+			u.core.logAbsenceProof(u.job, assignment)
+		}
 		u.changed = true
 		u.proposal.ended = append(u.proposal.ended, assignment)
 		if cause == wire.CauseDone && u.record.Stage == jobrecord.Queued {
@@ -449,27 +452,14 @@
 		return status.state == wire.TaskExited, status.cause
 	}
 	// If the newest heartbeat does not list the attempt, that proves that it is not running only if no
-	// start command can still arrive. This is used only for final jobs: the tasks of other jobs are to be
-	// started anyway.
-	if target.isFinal() && c.noStartPending(host, target, key) {
+	// start command can be executed any more. This is used only for final jobs: the tasks of other jobs are
+	// to be started anyway.
+	if target.isFinal() && c.areStartsFenced(host, target, key, host.status.fencingToken) {
 		return true, causeNotStarted
 	}
 	return false, ""
 }
 
-// noStartPending reports whether no start command of an attempt can still take effect on its machine.
-// Each command of this controller must have been answered, or be fenced by a higher fencing token that
-// the machine has accepted. Commands of former owners of the shard must be fenced as well.
-func (c *Core) noStartPending(host *machine, target *job, key attemptKey) bool {
-	shard := c.ownership.shardOf(target)
-	if !c.ownership.ownsShard(shard) || host.status.fencingToken < c.ownership.shards[shard].FencingToken {
-		return false
-	}
-	attempt := host.commands.attempts[key]
-	return attempt == nil || !attempt.startInFlight &&
-		(attempt.maxUnansweredToken == 0 || host.status.fencingToken > attempt.maxUnansweredToken)
-}
-
 // maxAssignedTasks returns the limit on simultaneously assigned tasks of a job, so that its record is
 // likely to fit a stored value. It is an estimate; encodeWithinLimit enforces the size limit.
 func (c *Core) maxAssignedTasks() int {
--- a/core/stats.go
+++ b/core/stats.go
@@ -6,10 +6,14 @@
 	Accepted        uint64 // jobs whose submission was accepted
 	TaskStarts      uint64 // start commands to agents
 	StartRefusals   uint64 // attempts that agents refused for lack of capacity
+	TaskClears      uint64 // clear commands to agents
 	Commits         uint64 // transactions sent
 	Conflicts       uint64 // transactions whose compares failed
 	UnknownOutcomes uint64 // transactions that were not answered
 
+	CommandConflicts uint64 // command requests that agents rejected because of their fencing token or incarnation
+	TokenRaises      uint64 // increments of the fencing token outside of claims
+
 	MachineLooks     uint64 // machines examined for commands to send
 	PlanMachineLooks uint64 // machines examined by the autoscaler for capacity
 
--- a/internal/fakes/workers.go
+++ b/internal/fakes/workers.go
@@ -28,6 +28,10 @@
 	provisioningMu    sync.Mutex // guards ctx, scaleOuts and the provisioning of the workers
 	ctx               context.Context
 	startsRefused     atomic.Int64
+	copyDelay         atomic.Int64           // maximum delay of copies of executed command batches, in ns; 0: no copies
+	copiesExecuted    atomic.Int64           // see CommandCounts
+	startedAgain      atomic.Int64           // see CommandCounts
+	clearedCount      atomic.Int64           // see CommandCounts
 	partitionedZone   atomic.Pointer[string] // nil or empty: none
 	scaleOuts         map[string][]string    // names of the machines of each scale-out by idempotency key
 	heartbeatInterval time.Duration
@@ -40,6 +44,12 @@
 // is stopped.
 type TaskShape = func(task string) (request [3]int64, duration time.Duration)
 
+// attemptID identifies an attempt of a task.
+type attemptID struct {
+	task    string
+	attempt uint64
+}
+
 // Worker is one machine with its agent.
 type Worker struct {
 	machine       wire.Machine
@@ -53,6 +63,7 @@
 	seq                               uint64
 	fencingToken                      uint64
 	tasks                             []wire.TaskStatus
+	cleared                           map[attemptID]bool
 	ackedHeartbeats, failedHeartbeats int
 
 	changed    chan struct{} // triggers the next heartbeat at once
@@ -93,6 +104,7 @@
 		ip := fmt.Sprintf("127.%d.%d.1", 1+i/250, 1+i%250)
 		worker := &Worker{
 			fleet: ws, controller: i % len(controllers), changed: make(chan struct{}, 1),
+			cleared: map[attemptID]bool{},
 			machine: wire.Machine{
 				Name:  fmt.Sprintf("m-%06d", i),
 				Addr:  ip,
@@ -250,6 +262,35 @@
 	return zone != nil && *zone == w.machine.Zone
 }
 
+// CopyCommands has a copy of each batch of commands that an agent executes arrive once more, after a random delay of up
+// to maxDelay, as a network may deliver it. Nobody waits for the response.
+func (ws *Workers) CopyCommands(maxDelay time.Duration) { ws.copyDelay.Store(int64(maxDelay)) }
+
+// CommandCounts counts what agents did on command.
+type CommandCounts struct {
+	Copies       int64 // late copies of batches that were executed
+	Cleared      int64 // attempts that were cleared
+	StartedAgain int64 // starts of attempts that were cleared before
+}
+
+// CommandCounts returns the counts of all agents.
+func (ws *Workers) CommandCounts() CommandCounts {
+	return CommandCounts{ws.copiesExecuted.Load(), ws.clearedCount.Load(), ws.startedAgain.Load()}
+}
+
+// copyLater delivers a copy of an executed batch if CopyCommands asks for that.
+func (w *Worker) copyLater(batch wire.CommandBatch) {
+	maxDelay := w.fleet.copyDelay.Load()
+	if maxDelay == 0 {
+		return
+	}
+	time.AfterFunc(time.Duration(rand.Int64N(maxDelay)), func() {
+		if w.ctx.Err() == nil && w.executeCommands(batch.FencingToken, batch.Commands) {
+			w.fleet.copiesExecuted.Add(1)
+		}
+	})
+}
+
 // StartsRefused returns how many start commands found no capacity.
 func (ws *Workers) StartsRefused() int64 { return ws.startsRefused.Load() }
 
@@ -289,6 +330,7 @@
 			writeJSON(rw, http.StatusConflict, worker.nextHeartbeat())
 			return
 		}
+		worker.copyLater(batch)
 	}
 	writeJSON(rw, http.StatusOK, worker.nextHeartbeat())
 }
@@ -338,6 +380,8 @@
 			w.tasks[i].Stage, w.tasks[i].Cause = wire.TaskExited, wire.CauseStopped
 		case command.Op == wire.OpClear && i >= 0 && w.tasks[i].Stage == wire.TaskExited:
 			w.tasks = slices.Delete(w.tasks, i, i+1)
+			w.cleared[attemptID{command.Task, command.Attempt}] = true
+			w.fleet.clearedCount.Add(1)
 		}
 	}
 	return true
@@ -345,6 +389,9 @@
 
 // startTask admits a task if there is capacity, and schedules its stage transitions. The caller holds mu.
 func (w *Worker) startTask(command wire.Command) {
+	if w.cleared[attemptID{command.Task, command.Attempt}] {
+		w.fleet.startedAgain.Add(1)
+	}
 	request, duration := w.fleet.taskShape(command.Task)
 	status := wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, Stage: wire.TaskPullingImage}
 	if !w.fits(request) {
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -85,6 +85,9 @@
 	GracePeriodS *float64 `json:"damp_s,omitempty"` // time to checkpoint before a stop
 }
 
+// String returns the operation, the task and the attempt, for logs.
+func (c Command) String() string { return fmt.Sprintf("%s %s@%d", c.Op, c.Task, c.Attempt) }
+
 // HeartbeatResponse is the response to a heartbeat, with commands to the agent.
 type HeartbeatResponse struct {
 	FencingToken uint64    `json:"baton"`
