core: responses to heartbeats carry a raised token only where it is needed

Cause: an agent that learns a higher token sends a heartbeat for it. With a raise for clears about every 40 s, each raise made all agents send one more, and the clears that followed another one.

Change: a response carries the token that the agent has, unless a claim has raised it since or a job that has ended is still assigned to the machine, whose proof needs the higher one. Machines with clears get it with these.

--- a/core/apply.go
+++ b/core/apply.go
@@ -87,6 +87,7 @@
 		return err
 	}
 	c.leadership.leader = leased
+	c.leadership.recordClaim(leased)
 	return nil
 }
 
@@ -109,6 +110,7 @@
 		return err
 	}
 	c.ownership.shards[shard] = leased
+	c.leadership.recordClaim(leased)
 	if leased.Holder == c.cfg.Name && leased.LeaseID == c.ownLease.id {
 		c.handleShardGained(shard)
 	}
--- a/core/heartbeats.go
+++ b/core/heartbeats.go
@@ -79,7 +79,10 @@
 	c.respond(
 		in.RequestID,
 		wire.StatusOK,
-		wire.HeartbeatResponse{FencingToken: c.leadership.fencingToken, Commands: c.cancelAcks.stopCommandsFor(m)},
+		wire.HeartbeatResponse{
+			FencingToken: c.responseToken(m, in.Heartbeat),
+			Commands:     c.cancelAcks.stopCommandsFor(m),
+		},
 	)
 }
 
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -19,6 +19,7 @@
 
 	fencingToken         uint64        // highest token in the store; 0: not known
 	fencingTokenRevision uint64        // modification revision of its key
+	claimToken           uint64        // highest token of a claim of the leadership or a shard; at most fencingToken
 	leader               leasedKey     // the leadership's key
 	raiseInFlight        bool          // an increment is in flight
 	nextRaiseAt          time.Duration // earliest time of the next increment
@@ -37,6 +38,32 @@
 	return c.replica.loaded && c.leadership.fencingToken > 0 && (c.ownLease.isHeld() || c.isStoreOutage())
 }
 
+// recordClaim records the fencing token of a claim.
+func (s *leadershipState) recordClaim(claimed leasedKey) {
+	s.claimToken = max(s.claimToken, claimed.FencingToken)
+}
+
+// responseToken returns the fencing token of the response to a heartbeat. An agent must soon learn the token of a
+// claim, and one that is needed to prove the end of a cancelled task. Another increment reaches it with the clears that
+// need it: each token that an agent learns from a response costs a heartbeat more.
+func (c *Core) responseToken(m *machine, heartbeat *wire.Heartbeat) uint64 {
+	known := heartbeat.FencingToken
+	if known == 0 || known < c.leadership.claimToken || c.hasFinalAssignment(m) {
+		return c.leadership.fencingToken
+	}
+	return known
+}
+
+// hasFinalAssignment reports whether a task of a job that is done or cancelled is still assigned to a machine.
+func (c *Core) hasFinalAssignment(m *machine) bool {
+	for task := range m.allocation.assignments {
+		if c.jobs[task.jobIndex].isFinal() {
+			return true
+		}
+	}
+	return false
+}
+
 // raiseFencingToken increments the fencing token. A machine that has seen the new token rejects commands
 // with an older one that are still in flight to it. why is logged.
 func (c *Core) raiseFencingToken(why string) {
--- a/core/startcopies_test.go
+++ b/core/startcopies_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"dewlift/core/jobrecord"
 	"dewlift/wire"
 )
 
@@ -246,3 +247,35 @@
 		t.Errorf("the fencing token was incremented %d times, at most %d are allowed", raised, limit)
 	}
 }
+
+// The response to a heartbeat must carry a higher fencing token where a proof needs it, and not otherwise: each token
+// that an agent learns from a response costs one more heartbeat.
+func TestResponsesCarryHigherTokenWhereNeeded(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(w *agentCluster)
+		want   uint64
+	}{
+		"raised for clears": {func(w *agentCluster) { w.deliverToken(json.RawMessage("2")) }, 1},
+		"raised by a claim": {func(w *agentCluster) {
+			w.deliverToken(json.RawMessage("2"))
+			w.core.leadership.recordClaim(leasedKey{FencingToken: 2})
+		}, 2},
+		"a cancelled task is assigned": {func(w *agentCluster) {
+			w.deliverToken(json.RawMessage("2"))
+			w.core.internJob("wk-1").record.Stage = jobrecord.Cancelled
+		}, 2},
+	} {
+		w := newAgentCluster(t)
+		w.core.Handle(w.now, testSubmission("wk-1"))
+		w.run(2 * time.Second)
+		w.revision++
+		test.change(w)
+		w.core.Handle(w.now, AgentHeartbeat{RequestID: 77, Heartbeat: w.agent.heartbeat()})
+		for _, response := range outputsOfType[Response](w.core.Advance(w.now)) {
+			body, ok := response.Body.(wire.HeartbeatResponse)
+			if response.RequestID == 77 && (!ok || body.FencingToken != test.want) {
+				t.Errorf("%s: the response is %+v, want token %d", name, response, test.want)
+			}
+		}
+	}
+}
