core: an answer to an earlier process settles no request of this one

What happens: request ids begin with 1 in each process, and a result that any controller sends is matched by its id alone. A late result for an earlier life of this controller counts as the answer of whatever request has its number, or is forwarded to a third controller.

Change: the ids of a process begin at a random number, and a relayed result counts only from the peer that relays the request.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -255,9 +255,15 @@
 // newServingCore returns a core that has loaded its replica, holds its lease and all shards, and has a catalog of
 // one machine type.
 func newServingCore(t *testing.T) *Core {
+	t.Helper()
+	return newServingCoreOfSeed(t, 1)
+}
+
+// newServingCoreOfSeed is newServingCore with a seed: each process of a controller has another one.
+func newServingCoreOfSeed(t *testing.T, seed uint64) *Core {
 	t.Helper()
 	cfg := testConfig()
-	c := New(cfg, 0, 1)
+	c := New(cfg, 0, seed)
 	c.Advance(time.Second)
 	types, err := json.Marshal(
 		wire.Catalog{Types: []wire.MachineType{{Name: "x", CPUs: 4, MemoryGB: 8, Price: 1, Zones: []string{"a"}}}},
@@ -400,7 +406,13 @@
 // newLeadingCore returns a serving core that is the leader, with machine m-1.
 func newLeadingCore(t *testing.T) *Core {
 	t.Helper()
-	c := newServingCore(t)
+	return newLeadingCoreOfSeed(t, 1)
+}
+
+// newLeadingCoreOfSeed is newLeadingCore with a seed.
+func newLeadingCoreOfSeed(t *testing.T, seed uint64) *Core {
+	t.Helper()
+	c := newServingCoreOfSeed(t, seed)
 	c.Handle(time.Second, WatchResult{LongPoll: true, Status: wire.StatusOK, Changes: wire.WatchResponse{
 		Revision: 7,
 		Events:   []wire.WatchEvent{{Put: keyLeader, Value: c.ownLease.leasedValue(1), Revision: 7}},
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -39,7 +39,8 @@
 // inFlightCommands is a command request whose outcome is not known yet.
 type inFlightCommands struct {
 	machineIndex int32
-	deadline     time.Duration // when a relayed request counts as unanswered; 0: the request is not relayed
+	relay        string        // the peer that sends it to the agent; empty: this controller does
+	deadline     time.Duration // when a relayed request counts as unanswered
 }
 
 // relayedCommands is a peer's command request that this controller sends on its behalf.
@@ -316,7 +317,7 @@
 		"agent_token", m.status.fencingToken, "incarnation", batch.Incarnation, "seq", m.status.heartbeatSeq,
 		"relay", peer, "commands", batch.Commands)
 	if peer != "" {
-		d.inFlight[id] = inFlightCommands{m.index, d.now + d.cfg.Cluster.RelayTimeout}
+		d.inFlight[id] = inFlightCommands{m.index, peer, d.now + d.cfg.Cluster.RelayTimeout}
 		d.emit(SendToPeer{Peer: peer, Message: Message{Commands: &request}})
 		return
 	}
@@ -338,8 +339,8 @@
 // expireRelayedCommands treats relayed requests that have no outcome by their deadline as unanswered.
 func (c *Core) expireRelayedCommands() {
 	for _, id := range sortedKeys(c.commands.inFlight) {
-		if request := c.commands.inFlight[id]; request.deadline != 0 && c.now >= request.deadline {
-			c.handleCommandsResult(CommandsResult{ID: id, MaybeDelivered: true})
+		if request := c.commands.inFlight[id]; request.relay != "" && c.now >= request.deadline {
+			c.settleCommands(CommandsResult{ID: id, MaybeDelivered: true})
 		}
 	}
 }
@@ -373,13 +374,26 @@
 	}
 }
 
-// handleCommandsResult handles the outcome of a command request. The outcome of a relayed request is
-// forwarded to the peer that requested it.
+// handleCommandsResult handles the outcome of a command request that this controller sent to an agent. The outcome of
+// a request that it relays is forwarded to the peer that requested it.
 func (c *Core) handleCommandsResult(in CommandsResult) {
 	if relayed, ok := c.commands.relayed[in.ID]; ok {
 		c.forwardRelayedResult(relayed, in)
 		return
 	}
+	c.settleCommands(in)
+}
+
+// handleRelayedResult handles the outcome of a command request that a peer relayed for this controller. Other results
+// are late answers to requests of an earlier process, and are ignored.
+func (c *Core) handleRelayedResult(peer string, in CommandsResult) {
+	if request, ok := c.commands.inFlight[in.ID]; ok && request.relay == peer {
+		c.settleCommands(in)
+	}
+}
+
+// settleCommands records the outcome of the command request in flight to a machine.
+func (c *Core) settleCommands(in CommandsResult) {
 	request, ok := c.commands.inFlight[in.ID]
 	if !ok {
 		return
--- a/core/environment.go
+++ b/core/environment.go
@@ -17,6 +17,13 @@
 	lastID       uint64   // last request ID
 }
 
+// firstIDBits is the size of the random number with which the request IDs of a process begin, so that a late answer to
+// an earlier process of the same controller matches no request of this one.
+const firstIDBits = 62
+
+// requestIDStream selects a random sequence of its own for the first request ID.
+const requestIDStream = 0xd1342543de82ef95
+
 // newEnvironment returns the environment of a core that starts at time now.
 func newEnvironment(cfg Config, now time.Duration, seed uint64) *environment {
 	return &environment{
@@ -24,6 +31,7 @@
 		rng:       rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		now:       now,
 		startedAt: now,
+		lastID:    rand.New(rand.NewPCG(seed, requestIDStream)).Uint64() >> (64 - firstIDBits),
 	}
 }
 
--- a/core/peers.go
+++ b/core/peers.go
@@ -177,7 +177,7 @@
 		c.emit(request)
 	}
 	if m.CommandsResult != nil {
-		c.handleCommandsResult(*m.CommandsResult)
+		c.handleRelayedResult(from, *m.CommandsResult)
 	}
 }
 
