core: the active schema version never falls, whatever list of peers

A controller that is restarted with the longer list waits for the declarations of controllers that have not started, takes schema version 0 as active on data of version 8, and writes records without their numbers: an older entry of a slot then counts as current.

Change: a version that is active stays so. The leader stores it (dl/active-form), and a record shows the version that it has been written under, for data from before there was that key.

--- a/core/apply.go
+++ b/core/apply.go
@@ -39,6 +39,8 @@
 		return c.applySlot(key, raw, revision)
 	case strings.HasPrefix(key, keySchemaVersion):
 		return c.applySchemaVersion(key, raw, revision)
+	case key == keyActiveSchema:
+		return c.applyActiveSchema(raw, revision)
 	case strings.HasPrefix(key, keyPermissions):
 		return c.permissions.applyPut(key, raw, revision)
 	case strings.HasPrefix(key, auditlog.Prefix):
@@ -155,6 +157,7 @@
 		c.history.coldRecords++ // the job exists, so a lookup must not answer that it does not
 		return err
 	}
+	c.observeSchemaVersion(versionOf(record))
 	c.auditLog.current().ObserveEntries(key, revision, record.PendingAudit)
 	record = c.replica.slots.withCurrentEntry(stored.id, record)
 	c.adoptRecord(stored, record, record.ExpandAssignments(c.internMachineInZone), revision, len(raw))
--- a/core/core.go
+++ b/core/core.go
@@ -318,6 +318,7 @@
 		c.advanceCancelAcks()
 		c.acquireOwnership()
 		c.declareSchemaVersion()
+		c.storeActiveSchema()
 		c.advanceAuditLog()
 		c.seedPermissions()
 		c.permissions.publishPolicy()
--- a/core/golden_test.go
+++ b/core/golden_test.go
@@ -59,6 +59,7 @@
 		keyTeam,
 		keyMachineTypes,
 		keySchemaVersion,
+		keyActiveSchema,
 		keyCancel,
 		keySlot,
 		slotKey(7),
@@ -70,7 +71,8 @@
 		KeyRestored,
 	}
 	want := "dl/ dl/node/ dl/leader dl/shard/ dl/shard/07 dl/epoch dl/job/ dl/team/ dl/types dl/form/ " +
-		"dl/cancel/ dl/over/ dl/over/07 dl/access/ dl/access/roles dl/access/who/ dl/lanes dl/history dl/restored"
+		"dl/active-form dl/cancel/ dl/over/ dl/over/07 dl/access/ dl/access/roles dl/access/who/ dl/lanes " +
+		"dl/history dl/restored"
 	if s := strings.Join(got, " "); s != want {
 		t.Errorf("the keys are %s, want %s", s, want)
 	}
@@ -99,6 +101,10 @@
 		c.schema.declared["node-b"] != 8 {
 		t.Errorf("a declared schema version is decoded as %v (%v)", c.schema.declared, err)
 	}
+	c.applyPut("dl/active-form", json.RawMessage("8"), 3)
+	if c.schema.active != 8 || c.schema.stored != 8 {
+		t.Errorf("the active schema version is decoded as %d and stored as %d", c.schema.active, c.schema.stored)
+	}
 	if err := c.restoreMarker.apply(json.RawMessage(`"what"`), 3); err != nil ||
 		c.restoreMarker.description != "what" {
 		t.Errorf("a restore marker is decoded as %q (%v)", c.restoreMarker.description, err)
--- a/core/schemaversion.go
+++ b/core/schemaversion.go
@@ -3,18 +3,24 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
+	"dewlift/core/jobrecord"
 	"dewlift/wire"
 )
 
 // During a rolling upgrade two versions of this program run at the same time, and both read what either
 // stores. A schema version defines how data is stored and messages are sent. Each controller declares the
 // newest schema version that it knows under a key of its own. The declaration is permanent: a controller
-// is never downgraded below it. A schema version becomes active, which means that it may be written, only when
+// is never downgraded below it. A schema version becomes active, which means that it may be written, when
 // every configured controller has declared it; a missing declaration never counts as one. Data stored under
 // older schema versions always stays readable.
+//
+// A version that is active stays active for ever: data has its form. So the leader stores it under
+// keyActiveSchema, and a controller whose list of peers has grown does not wait for the declarations of the new
+// ones. Data that was written before there was this key shows its version itself, see versionOf.
 const (
 	schemaInitial         = 0 // the version without declarations
 	schemaDependencies    = 1 // job specs with dependencies, packed records, cancel markers
@@ -31,9 +37,10 @@
 )
 
 const (
-	keySchemaVersion = Root + "form/" // declarations, by controller
+	keySchemaVersion = Root + "form/"       // declarations, by controller
+	keyActiveSchema  = Root + "active-form" // the active version
 
-	// declarationInterval is the minimum time between two attempts to write the declaration.
+	// declarationInterval is the minimum time between two attempts to write the declaration or the active version.
 	declarationInterval = time.Second
 )
 
@@ -42,8 +49,12 @@
 type schemaState struct {
 	*environment
 	declared            map[string]int // newest declared version, by controller
-	active              int            // newest version declared by all controllers
+	active              int            // newest version that may be written; never decreases
 	activeSince         time.Duration
+	stored              int    // as under keyActiveSchema
+	storedRevision      uint64 // revision of that key; 0: it does not exist
+	storeInFlight       bool   // a write of that key
+	nextStoreAt         time.Duration
 	declarationRevision uint64 // revision of this controller's declaration; 0: it is not stored
 	declarationInFlight bool
 	nextDeclarationAt   time.Duration
@@ -66,21 +77,48 @@
 		s.log(LevelError, "controller was downgraded: stored data of the newer version may be unreadable",
 			"form", version)
 	}
-	common := s.commonVersion()
-	if common <= s.active {
+	return s.activate(s.commonVersion())
+}
+
+// activate makes a version active, as far as this program knows it, and reports whether it was not before.
+func (s *schemaState) activate(version int) bool {
+	version = min(version, s.cfg.SchemaVersion)
+	if version <= s.active {
 		return false
 	}
-	s.log(LevelInfo, "schema version activated", "form", common)
-	s.active, s.activeSince = common, s.now
+	s.log(LevelInfo, "schema version activated", "form", version)
+	s.active, s.activeSince = version, s.now
 	return true
 }
 
+// versionOf returns the oldest schema version under which a record can have been written.
+func versionOf(record *jobrecord.Record) int {
+	switch {
+	case record.EnqueueRevision != 0 || record.PriorityClass != "":
+		return schemaPriorityClasses
+	case record.WriteNumber != 0:
+		return schemaSharedValues
+	}
+	return schemaInitial
+}
+
 // recordSchemaVersion records a controller's declaration, and applies the schema version that it activates,
 // if any.
 func (c *Core) recordSchemaVersion(name string, version int) {
-	if !c.schema.record(name, version) {
-		return
+	if c.schema.record(name, version) {
+		c.handleSchemaActivated()
 	}
+}
+
+// observeSchemaVersion activates a schema version that stored data has.
+func (c *Core) observeSchemaVersion(version int) {
+	if c.schema.activate(version) {
+		c.handleSchemaActivated()
+	}
+}
+
+// handleSchemaActivated does what a new active schema version makes possible.
+func (c *Core) handleSchemaActivated() {
 	c.updateRateLimit()
 	// Oversized records may fit under the new version: they are written again before a change requires it.
 	for _, open := range c.openJobs {
@@ -117,6 +155,40 @@
 	)
 }
 
+// storeActiveSchema writes the active schema version, if this controller is the leader and a lower one is stored.
+func (c *Core) storeActiveSchema() {
+	schema := &c.schema
+	if schema.active <= schema.stored || schema.storeInFlight || c.now < schema.nextStoreAt ||
+		!c.leadership.isHeld() || !c.ownLease.isHeld() || c.transactions.rateLimit.IsPaused(c.now) {
+		return
+	}
+	schema.storeInFlight, schema.nextStoreAt = true, c.now+declarationInterval
+	version := schema.active
+	txn := wire.Txn{
+		Compare: []wire.Compare{{Key: keyActiveSchema, Revision: schema.storedRevision}},
+		Then:    []wire.Write{{Put: keyActiveSchema, Value: json.RawMessage(strconv.Itoa(version))}},
+	}
+	c.transactions.commit(txn, &pendingTxn{onDone: func(status wire.Status, reply wire.TxnResponse) {
+		schema.storeInFlight = false
+		if status == wire.StatusOK && reply.Revision >= schema.storedRevision {
+			schema.stored, schema.storedRevision = version, reply.Revision
+		}
+	}})
+}
+
+// applyActiveSchema applies the stored active schema version.
+func (c *Core) applyActiveSchema(raw json.RawMessage, revision uint64) error {
+	var version int
+	if err := json.Unmarshal(raw, &version); err != nil {
+		return fmt.Errorf("decode active schema version: %w", err)
+	}
+	if revision >= c.schema.storedRevision {
+		c.schema.stored, c.schema.storedRevision = version, revision
+	}
+	c.observeSchemaVersion(version)
+	return nil
+}
+
 // applySchemaVersion applies a stored declaration.
 func (c *Core) applySchemaVersion(key string, raw json.RawMessage, revision uint64) error {
 	var version int
--- a/core/schemaversion_test.go
+++ b/core/schemaversion_test.go
@@ -462,3 +462,65 @@
 		t.Errorf("the last refused value had %d bytes, %d smaller ones were written", largest, written)
 	}
 }
+
+// A controller whose list of peers has grown must not write data of an older schema version than the store has: records
+// without numbers made older entries of slots count as current, so that completed tasks ran again.
+func TestGrownListOfPeersKeepsSchemaVersion(t *testing.T) {
+	for name, test := range map[string]struct {
+		key, value string
+		want       int
+	}{
+		"active version is stored":     {keyActiveSchema, "8", 8},
+		"a newer one is stored":        {keyActiveSchema, "99", SchemaVersion},
+		"a record is numbered":         {keyJob + "wk-1", `{"h":0,"s":{"uid":"wk-1"},"v":3}`, schemaSharedValues},
+		"a record has its queue place": {keyJob + "wk-1", `{"h":0,"nr":7}`, schemaPriorityClasses},
+		"nothing shows a version":      {keyJob + "wk-1", `{"h":0}`, schemaInitial},
+	} {
+		cfg := testConfig()
+		cfg.Peers = []string{"n1", "n2", "n3", "n4"}
+		c := New(cfg, 0, 1)
+		c.Advance(time.Second)
+		stored := wire.KeyValue{Key: test.key, Value: json.RawMessage(test.value), Revision: 5}
+		page := SnapshotPage{OK: true, Revision: 5, Items: []wire.KeyValue{stored}}
+		for _, declared := range []string{"n0", "n1", "n2"} {
+			key := keySchemaVersion + declared
+			page.Items = append(page.Items, wire.KeyValue{Key: key, Value: json.RawMessage("8"), Revision: 4})
+		}
+		c.Handle(time.Second, page)
+		if c.schema.active != test.want {
+			t.Errorf("%s: schema version %d is active, want %d", name, c.schema.active, test.want)
+		}
+	}
+}
+
+// The leader must store the active schema version, and a higher one once all controllers have declared it.
+func TestActiveSchemaVersionIsStored(t *testing.T) {
+	c := newLeadingCore(t)
+	for i, name := range []string{"n0", "n1", "n2"} {
+		c.recordSchemaVersion(name, 7+i%2)
+	}
+	stored := func(now time.Duration) (versions []string) {
+		for _, commit := range outputsOfType[CommitTxn](c.Advance(now)) {
+			for _, write := range commit.Txn.Then {
+				if write.Put == keyActiveSchema {
+					versions = append(versions, string(write.Value))
+					reply := wire.TxnResponse{Revision: 50}
+					c.Handle(now, TxnResult{ID: commit.ID, Status: wire.StatusOK, Reply: reply})
+				}
+			}
+		}
+		return versions
+	}
+	if got := stored(1100 * time.Millisecond); !slices.Equal(got, []string{"7"}) {
+		t.Errorf("versions %v are stored, want 7", got)
+	}
+	c.recordSchemaVersion("n0", 8)
+	c.recordSchemaVersion("n2", 8)
+	c.ownLease.expiresAt = time.Minute
+	if got := stored(3 * time.Second); !slices.Equal(got, []string{"8"}) {
+		t.Errorf("versions %v are stored, want 8", got)
+	}
+	if got := stored(5 * time.Second); len(got) != 0 {
+		t.Errorf("versions %v are stored once more", got)
+	}
+}
--- a/internal/sim/config.go
+++ b/internal/sim/config.go
@@ -42,6 +42,7 @@
 	// fault-free, so that lost state shows.
 	FlappingProcesses bool
 	LateCopies        bool // copies of requests that were carried out arrive late, see copyLater
+	InitialMembers    int  // the cluster begins with that many controllers, see scheduleGrowth; 0: with all
 }
 
 const (
@@ -157,7 +158,7 @@
 	} else {
 		s.addNewVersionConfig(&cfg)
 	}
-	for _, peer := range s.nodes {
+	for _, peer := range s.nodes[:n.members] {
 		if peer != n {
 			cfg.Peers = append(cfg.Peers, peer.name)
 		}
--- a/internal/sim/simulator.go
+++ b/internal/sim/simulator.go
@@ -28,6 +28,8 @@
 
 	pausedUntil time.Duration // the process is suspended until then; inputs wait
 
+	members int // the number of controllers in its settings, itself included
+
 	bootsPrevious bool // its next process runs the previous version
 	runsPrevious  bool // its current process runs the previous version
 }
@@ -104,7 +106,11 @@
 	sim.queueOrder = newQueueOrderChecker(sim)
 	for i := range options.Controllers {
 		clockOffset := time.Duration(sim.rng.IntN(5000)) * time.Millisecond
-		sim.nodes = append(sim.nodes, &node{name: fmt.Sprintf("n%d", i), clockOffset: clockOffset})
+		sim.nodes = append(sim.nodes, &node{
+			name:        fmt.Sprintf("n%d", i),
+			clockOffset: clockOffset,
+			members:     options.Controllers,
+		})
 	}
 	if options.RollingUpgrade {
 		sim.scheduleRollingUpgrade()
@@ -112,8 +118,13 @@
 	if options.MixedVersions {
 		sim.nodes[options.Seed%uint64(options.Controllers)].bootsPrevious = true
 	}
+	if options.InitialMembers > 0 {
+		sim.scheduleGrowth()
+	}
 	for _, n := range sim.nodes {
-		sim.boot(n)
+		if !n.down {
+			sim.boot(n)
+		}
 	}
 	return sim
 }
