--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -263,7 +263,7 @@
 	}
 	for _, key := range p.clears {
 		if p.add(wire.OpClear, key) {
-			c.Stats.TaskClears++
+			c.fencing.TaskClears++
 		}
 	}
 }
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -73,7 +73,7 @@
 	}
 	c.leadership.raiseInFlight = true
 	c.leadership.nextRaiseAt = c.now + tokenRaiseInterval
-	c.Stats.TokenRaises++
+	c.fencing.TokenRaises++
 	c.log(LevelInfo, "raising fencing token", "token", c.leadership.fencingToken+1, "why", why)
 	txn := wire.Txn{
 		Compare: []wire.Compare{{Key: keyFencingToken, Revision: c.leadership.fencingTokenRevision}},
--- a/core/startfence.go
+++ b/core/startfence.go
@@ -176,7 +176,7 @@
 // resendAfterConflict handles commands that an agent rejected: it has accepted a higher fencing token, or its
 // incarnation has changed. Once this controller knows the higher token, it sends them again without the back-off.
 func (c *Core) resendAfterConflict(m *machine, heartbeat *wire.Heartbeat) {
-	c.Stats.CommandConflicts++
+	c.fencing.CommandConflicts++
 	c.logConflict(m, heartbeat)
 	m.commands.nextSendAt = c.now + conflictBackoff
 	if heartbeat == nil || heartbeat.FencingToken <= c.leadership.fencingToken {
--- a/core/stats.go
+++ b/core/stats.go
@@ -6,14 +6,10 @@
 	Accepted        uint64 // jobs whose submission was accepted
 	TaskStarts      uint64 // start commands to agents
 	StartRefusals   uint64 // attempts that agents refused for lack of capacity
-	TaskClears      uint64 // clear commands to agents
 	Commits         uint64 // transactions sent
 	Conflicts       uint64 // transactions whose compares failed
 	UnknownOutcomes uint64 // transactions that were not answered
 
-	CommandConflicts uint64 // command requests that agents rejected because of their fencing token or incarnation
-	TokenRaises      uint64 // increments of the fencing token outside of claims
-
 	MachineLooks     uint64 // machines examined for commands to send
 	PlanMachineLooks uint64 // machines examined by the autoscaler for capacity
 
@@ -30,3 +26,19 @@
 	CachedBlocks  int // gauge: archive blocks in memory
 	HistoryBytes  int // gauge: estimated memory of ended jobs and blocks
 }
+
+// FencingStats holds counters about start fences. They are logged in a line of their own, as tools of operators read
+// the names of Stats.
+type FencingStats struct {
+	TaskClears       uint64 // clear commands to agents
+	CommandConflicts uint64 // command requests that agents rejected because of their fencing token or incarnation
+	TokenRaises      uint64 // increments of the fencing token outside of claims
+	WaitingMachines  int    // gauge: machines with ended tasks that wait for a higher fencing token
+}
+
+// FencingStats returns the counters about start fences.
+func (c *Core) FencingStats() FencingStats {
+	stats := c.fencing
+	stats.WaitingMachines = len(c.commands.fenceWaiters.machines)
+	return stats
+}
--- a/eventloop.go
+++ b/eventloop.go
@@ -79,6 +79,7 @@
 	if now > l.nextMetrics {
 		l.nextMetrics = now + metricsInterval
 		l.metrics.logSummary(l.log, l.core.Stats)
+		l.log.Info("start fences", "stats", l.core.FencingStats())
 	}
 }
 
