core: majorities of every list of peers in use, while a cluster changes

What happens: while the list of controllers changes, controllers run with different lists, and majorities of two lists need not meet. Two of three that have the old list confirm a cancellation, and one with the new list renews the leases of agents with the two new ones, which lack it: a cancelled task may run past cancel_s in an outage of the store. Found by reading; the model of core/quorum shows it while three become five.

--- a/core/apply.go
+++ b/core/apply.go
@@ -39,6 +39,8 @@
 		return c.applySlot(key, raw, revision)
 	case strings.HasPrefix(key, keySchemaVersion):
 		return c.applySchemaVersion(key, raw, revision)
+	case strings.HasPrefix(key, keyMemberList):
+		return c.applyMemberList(key, raw, revision)
 	case key == keyActiveSchema:
 		return c.applyActiveSchema(raw, revision)
 	case strings.HasPrefix(key, keyPermissions):
@@ -101,6 +103,7 @@
 	}
 	c.controllers.registrations[key[len(keyRegistration):]] = leased
 	c.controllers.registrationsVersion++
+	c.updateQuorumLists()
 	return nil
 }
 
@@ -173,6 +176,7 @@
 	case strings.HasPrefix(key, keyRegistration):
 		delete(c.controllers.registrations, key[len(keyRegistration):])
 		c.controllers.registrationsVersion++
+		c.updateQuorumLists()
 	case strings.HasPrefix(key, keyShard):
 		if shard := c.ownership.shardOfKey(key); shard >= 0 {
 			c.ownership.shards[shard] = leasedKey{absentSince: c.now}
--- a/core/core.go
+++ b/core/core.go
@@ -20,6 +20,8 @@
 	// Stats holds the counters and gauges that are logged periodically.
 	Stats Stats
 
+	fencing FencingStats
+
 	jobTable
 	pendingSubmissions int // submissions whose write is pending
 	dependencies       dependencyGraph
@@ -41,6 +43,7 @@
 	leaderState *leaderState // nil unless this controller is the leader
 	ownership   shardOwnership
 	controllers controllerSet
+	memberLists memberLists
 	clusterCopy clusterCopy
 	deltaLog    deltaLog
 
@@ -121,6 +124,7 @@
 	c.controllers.environment = c.environment
 	c.controllers.membership = membership.New(c.cfg.Peers, c.cfg.Cluster.PeerTimeout)
 	c.controllers.registrations = map[string]leasedKey{}
+	c.memberLists = newMemberLists(c.environment)
 }
 
 // initStore initializes the replica of the store, and the state of reads and writes.
@@ -168,6 +172,7 @@
 	c.deltaLog.unacked = map[string][]deltaBatch{}
 	c.cancelAcks = cancelAcks{environment: c.environment, jobs: &c.jobTable, replica: &c.replica, schema: &c.schema}
 	c.cancelAcks.quorum = quorum.New(quorum.Config{
+		Name:           c.cfg.Name,
 		Peers:          c.cfg.Peers,
 		CancelDeadline: c.cfg.Agents.CancelTimeout,
 		AgentLeaseTTL:  c.cfg.Agents.LeaseTTL,
@@ -319,6 +324,7 @@
 		c.acquireOwnership()
 		c.declareSchemaVersion()
 		c.storeActiveSchema()
+		c.storeMemberList()
 		c.advanceAuditLog()
 		c.seedPermissions()
 		c.permissions.publishPolicy()
--- a/core/golden_test.go
+++ b/core/golden_test.go
@@ -60,6 +60,7 @@
 		keyMachineTypes,
 		keySchemaVersion,
 		keyActiveSchema,
+		keyMemberList,
 		keyCancel,
 		keySlot,
 		slotKey(7),
@@ -71,8 +72,8 @@
 		KeyRestored,
 	}
 	want := "dl/ dl/node/ dl/leader dl/shard/ dl/shard/07 dl/epoch dl/job/ dl/team/ dl/types dl/form/ " +
-		"dl/active-form dl/cancel/ dl/over/ dl/over/07 dl/access/ dl/access/roles dl/access/who/ dl/lanes " +
-		"dl/history dl/restored"
+		"dl/active-form dl/members/ dl/cancel/ dl/over/ dl/over/07 dl/access/ dl/access/roles dl/access/who/ " +
+		"dl/lanes dl/history dl/restored"
 	if s := strings.Join(got, " "); s != want {
 		t.Errorf("the keys are %s, want %s", s, want)
 	}
@@ -105,6 +106,10 @@
 	if c.schema.active != 8 || c.schema.stored != 8 {
 		t.Errorf("the active schema version is decoded as %d and stored as %d", c.schema.active, c.schema.stored)
 	}
+	c.applyPut("dl/members/n1", json.RawMessage(`["n0","n1"]`), 3)
+	if list := c.memberLists.lists["n1"]; !reflect.DeepEqual(list, []string{"n0", "n1"}) {
+		t.Errorf("a list of controllers is decoded as %v", list)
+	}
 	if err := c.restoreMarker.apply(json.RawMessage(`"what"`), 3); err != nil ||
 		c.restoreMarker.description != "what" {
 		t.Errorf("a restore marker is decoded as %q (%v)", c.restoreMarker.description, err)
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -11,6 +11,11 @@
 // acknowledged only once a majority holds it: the two majorities share a controller that holds it, in the
 // same incarnation or in one that has since loaded a snapshot of the store.
 //
+// While the list of controllers in the settings changes, controllers run with different lists, and a majority of one
+// need not meet a majority of another. So the lists in use are stored, and a majority counts only if it is one of the
+// own list and of each other list in use. A controller whose own list is not stored yet has no majority at all: the
+// others do not know that they must meet its majorities.
+//
 // The package owns the [View] of one controller. It sends nothing, knows no jobs, and has no clock:
 // times are passed in.
 package quorum
@@ -22,6 +27,7 @@
 
 // Config is the configuration of a View.
 type Config struct {
+	Name           string        // of this controller
 	Peers          []string      // the other controllers, as configured
 	CancelDeadline time.Duration // from a cancellation until all tasks of the job must be gone
 	AgentLeaseTTL  time.Duration // counted from the sending of the last heartbeat that was answered
@@ -59,6 +65,8 @@
 // View tracks how current one controller's view of the cancellations is, and which cancellations its peers hold.
 type View struct {
 	cfg           Config
+	ownListStored bool          // the others can know this controller's list
+	lists         [][]string    // the lists of controllers in use, the own one first
 	initialized   bool          // the view has been current as of some time
 	currentAsOf   time.Duration // the latest time as of which it has been current
 	queryNonce    uint64        // nonce of the query in progress; 0: none
@@ -69,7 +77,16 @@
 
 // New returns the view of a controller that has no proof yet.
 func New(cfg Config) *View {
-	return &View{cfg: cfg, repliedPeers: map[string]bool{}, heldRevisions: map[string]uint64{}}
+	view := &View{cfg: cfg, repliedPeers: map[string]bool{}, heldRevisions: map[string]uint64{}}
+	view.SetMemberLists(false, nil)
+	return view
+}
+
+// SetMemberLists sets the lists of controllers with which the other controllers run, as the store has them.
+// ownListStored tells whether the store has this controller's present list.
+func (v *View) SetMemberLists(ownListStored bool, others [][]string) {
+	own := append([]string{v.cfg.Name}, v.cfg.Peers...)
+	v.ownListStored, v.lists = ownListStored, append([][]string{own}, others...)
 }
 
 // ConfirmRead records that a read of the store sent at sentAt has been answered, and that all changes
@@ -128,14 +145,31 @@
 // confirmIfMajority ends the query in progress once a majority has replied: the view is then current as
 // of the time when the query was sent.
 func (v *View) confirmIfMajority() {
-	if v.isMajority(len(v.repliedPeers)) {
+	if v.isMajority(func(peer string) bool { return v.repliedPeers[peer] }) {
 		v.ConfirmRead(v.querySentAt)
 		v.queryNonce = 0
 	}
 }
 
-// isMajority reports whether this controller and that many peers are a majority of all controllers.
-func (v *View) isMajority(peers int) bool { return (peers+1)*2 > len(v.cfg.Peers)+1 }
+// isMajority reports whether this controller and the peers for which agrees is true are a majority of each list of
+// controllers in use.
+func (v *View) isMajority(agrees func(peer string) bool) bool {
+	if !v.ownListStored {
+		return false
+	}
+	for _, list := range v.lists {
+		count := 0
+		for _, name := range list {
+			if name == v.cfg.Name || agrees(name) {
+				count++
+			}
+		}
+		if count*2 <= len(list) {
+			return false
+		}
+	}
+	return true
+}
 
 // isPeer reports whether a name is that of a configured peer. Others don't count towards a majority.
 func (v *View) isPeer(name string) bool { return slices.Contains(v.cfg.Peers, name) }
@@ -153,11 +187,5 @@
 // may be acknowledged to users. This controller must hold it. ackedBy are the peers that have confirmed that
 // they hold this cancellation.
 func (v *View) CanAcknowledge(revision uint64, ackedBy map[string]bool) bool {
-	holders := 0
-	for _, peer := range v.cfg.Peers {
-		if ackedBy[peer] || v.heldRevisions[peer] >= revision {
-			holders++
-		}
-	}
-	return v.isMajority(holders)
+	return v.isMajority(func(peer string) bool { return ackedBy[peer] || v.heldRevisions[peer] >= revision })
 }
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -34,6 +34,38 @@
 	t.Logf("%d renewals, %d acknowledged cancellations", renewed, acknowledged)
 }
 
+// The same must hold while a cluster grows from three to five controllers and shrinks again, as the controllers run
+// with different lists meanwhile.
+func TestRenewersKnowAcknowledgedCancellationsWhileClusterGrows(t *testing.T) {
+	renewed, acknowledged := 0, 0
+	for seed := uint64(1); seed <= modelSeeds; seed++ {
+		m := newGrowingModel(t, seed)
+		for range modelSteps {
+			m.step()
+		}
+		renewed += m.renewed
+		acknowledged += len(m.acknowledged)
+	}
+	if renewed < 100_000 || acknowledged < 5_000 {
+		t.Errorf("%d renewals, %d acknowledged cancellations: too few to show anything", renewed, acknowledged)
+	}
+}
+
+// While a cluster grows, a majority of the own list alone must be caught: two of them need not meet.
+func TestModelCatchesMajoritiesThatDoNotMeet(t *testing.T) {
+	for seed := uint64(1); seed <= modelSeeds; seed++ {
+		m := newGrowingModel(t, seed)
+		m.countOnly, m.ignoreLists = true, true
+		for range modelSteps {
+			m.step()
+		}
+		if m.violations > 0 {
+			return
+		}
+	}
+	t.Error("majorities that do not meet were not caught")
+}
+
 // The model must find a violation if any one of the rules is broken. Otherwise the test above would prove nothing.
 func TestModelCatchesBrokenRules(t *testing.T) {
 	for name, breakRule := range map[string]func(m *model){
@@ -74,7 +106,9 @@
 	heldBeyond       map[uint64]bool            // cancellations after revision that it holds
 	acks             map[uint64]map[string]bool // by cancellation that it wants to acknowledge: peers that hold it
 	pausedUntil      time.Duration
-	storeUnreachable bool // for this process only
+	storeUnreachable bool     // for this process only
+	settings         []string // the list of controllers in its settings
+	listRevision     uint64   // of the stored lists that it knows
 	name             string
 	incarnation      int
 }
@@ -95,12 +129,14 @@
 	storeDown    bool                     // for all processes
 	cutLinks     map[[2]int]bool
 	delayed      []message
+	lists        []map[string][]string // the stored lists of controllers, after each change
+	growing      bool
 	renewed      int
 	violations   int
 	countOnly    bool // violations don't fail the test
 
 	// Rules that the model breaks.
-	ackWithoutQuorum, acceptAnyNonce, replyUnloaded, ignoreStaleness, countFromReply, ignorePeers bool
+	ackWithoutQuorum, acceptAnyNonce, replyUnloaded, ignoreStaleness, countFromReply, ignorePeers, ignoreLists bool
 }
 
 // message is a message in transit.
@@ -118,28 +154,79 @@
 		acknowledged: map[uint64]time.Duration{},
 		cutLinks:     map[[2]int]bool{},
 	}
-	for i := range []int{3, 5, 1}[seed%3] {
+	size := []int{3, 5, 1}[seed%3]
+	m.lists = []map[string][]string{{}}
+	for i := range size {
 		m.processes = append(m.processes, &process{name: fmt.Sprint("n", i)})
 	}
 	for _, p := range m.processes {
+		p.settings = m.names(size)
+		m.lists[0][p.name] = p.settings
 		m.boot(p)
 	}
 	return m
 }
 
-// boot starts the next incarnation of a process, without the state of the last one.
-func (m *model) boot(p *process) {
-	var peers []string
-	for _, other := range m.processes {
-		if other != p {
-			peers = append(peers, other.name)
+// names returns the names of the first controllers.
+func (m *model) names(count int) (names []string) {
+	for _, p := range m.processes[:count] {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+// newGrowingModel returns a cluster that grows from three to five controllers: some of the three have been restarted
+// with the longer list, the others are at random times, and the two new ones have started.
+func newGrowingModel(t *testing.T, seed uint64) *model {
+	t.Helper()
+	m := newModel(t, 1) // five controllers
+	m.rng, m.growing = rand.New(rand.NewPCG(seed, 6)), true
+	m.lists = []map[string][]string{{}}
+	for i, p := range m.processes {
+		p.settings = m.names(5)
+		if i < 3 && m.rng.IntN(3) > 0 {
+			p.settings = m.names(3)
 		}
+		m.lists[0][p.name] = p.settings
+		m.boot(p)
 	}
+	return m
+}
+
+// boot starts the next incarnation of a process, without the state of the last one.
+func (m *model) boot(p *process) {
+	peers := slices.DeleteFunc(slices.Clone(p.settings), func(name string) bool { return name == p.name })
 	p.incarnation++
-	p.view, p.loaded, p.revision = New(Config{peers, cancelDeadline, agentLeaseTTL}), false, 0
+	p.view, p.loaded, p.revision = New(Config{p.name, peers, cancelDeadline, agentLeaseTTL}), false, 0
+	p.listRevision = 0
 	p.heldBeyond, p.acks = map[uint64]bool{}, map[uint64]map[string]bool{}
 }
 
+// storeList writes the settings' list of a process to the store.
+func (m *model) storeList(p *process) {
+	lists := maps.Clone(m.lists[len(m.lists)-1])
+	if !slices.Equal(lists[p.name], p.settings) {
+		lists[p.name] = p.settings
+		m.lists = append(m.lists, lists)
+	}
+}
+
+// applyLists lets a process know the lists as stored after a change.
+func (m *model) applyLists(p *process, change uint64) {
+	p.listRevision = max(p.listRevision, change)
+	stored := m.lists[p.listRevision]
+	var others [][]string
+	for _, name := range slices.Sorted(maps.Keys(stored)) {
+		if name != p.name && !m.ignoreLists {
+			others = append(others, stored[name])
+		}
+	}
+	p.view.SetMemberLists(slices.Equal(stored[p.name], p.settings), others)
+}
+
+// knows reports whether a process has another in its settings: it ignores messages of others.
+func (p *process) knows(other *process) bool { return slices.Contains(p.settings, other.name) }
+
 // send sends a message between two processes. Some messages are late or delivered more than once.
 func (m *model) send(from, to int, deliver func()) {
 	if m.cutLinks[[2]int{min(from, to), max(from, to)}] {
@@ -170,6 +257,9 @@
 	}
 	storeReachable := !m.storeDown && !p.storeUnreachable
 	if storeReachable && m.rng.IntN(3) == 0 {
+		if p.loaded {
+			m.storeList(p)
+		}
 		m.readStore(p)
 	}
 	if storeReachable && p.loaded && m.rng.IntN(8) == 0 {
@@ -214,17 +304,39 @@
 		m.cutLinks[[2]int{min(i, k), max(i, k)}] = m.rng.IntN(2) == 0
 	case 4:
 		p.pausedUntil = m.now + m.randomMillis(40_000)
+	case 5:
+		if m.growing && i < 3 && m.rng.IntN(4) == 0 { // it is restarted with the other list
+			p.settings = m.names(len(m.processes) + 3 - len(p.settings))
+			m.boot(p)
+		}
+	case 6:
+		if m.growing {
+			m.cutBetweenLists(m.rng.IntN(2) == 0)
+		}
+	}
+}
+
+// cutBetweenLists cuts or restores the links between controllers with different lists.
+func (m *model) cutBetweenLists(cut bool) {
+	for i, p := range m.processes {
+		for k := range i {
+			if !slices.Equal(p.settings, m.processes[k].settings) {
+				m.cutLinks[[2]int{k, i}] = cut
+			}
+		}
 	}
 }
 
 // readStore lets a process read the store. The read shows the store as of its sending, and may be answered late.
 func (m *model) readStore(p *process) {
 	sentAt, shown, incarnation := m.now, m.revision, p.incarnation
+	lists := uint64(len(m.lists) - 1)
 	answer := func() {
 		if p.incarnation != incarnation || m.now < p.pausedUntil {
 			return
 		}
 		p.revision, p.loaded = max(p.revision, shown), true
+		m.applyLists(p, lists)
 		if m.countFromReply {
 			sentAt = m.now
 		}
@@ -271,7 +383,7 @@
 			continue
 		}
 		m.send(i, k, func() {
-			if !peer.loaded || m.now < peer.pausedUntil {
+			if !peer.loaded || m.now < peer.pausedUntil || !peer.knows(p) {
 				return
 			}
 			peer.heldBeyond[revision] = true
@@ -294,7 +406,7 @@
 			continue
 		}
 		m.send(i, k, func() {
-			if !peer.loaded && !m.replyUnloaded || m.now < peer.pausedUntil {
+			if !peer.loaded && !m.replyUnloaded || m.now < peer.pausedUntil || !peer.knows(p) {
 				return
 			}
 			var held []uint64
@@ -369,7 +481,8 @@
 
 // A single controller must be a majority by itself, or it could never renew a lease in a store outage.
 func TestOneControllerIsItsOwnQuorum(t *testing.T) {
-	v := New(Config{nil, cancelDeadline, agentLeaseTTL})
+	v := New(Config{"n0", nil, cancelDeadline, agentLeaseTTL})
+	v.SetMemberLists(true, nil)
 	v.BeginQuery(time.Minute, 7)
 	if !v.IsFresh(time.Minute + 10*time.Second) {
 		t.Error("the view is not fresh after a query")
--- a/core/replica.go
+++ b/core/replica.go
@@ -328,6 +328,7 @@
 	}
 	c.leadership.leader = leasedKey{absentSince: c.now}
 	c.controllers.registrations = map[string]leasedKey{}
+	c.updateQuorumLists()
 	c.controllers.registrationsVersion++
 	c.history.coldRecords, c.history.markerRevision = 0, 0
 	c.permissions = newPermissionState(c.environment)
@@ -352,6 +353,7 @@
 	c.replica.revision = c.replica.snapshotRevision
 	c.replica.lastPageKey = ""
 	c.replica.loaded = true
+	c.updateQuorumLists()
 	c.cancelAcks.quorum.ConfirmRead(c.replica.snapshotStartedAt)
 	c.replica.watchInFlight = false
 	c.log(LevelInfo, "snapshot loaded", "ledger", c.replica.revision, "pages", c.replica.pagesRead,
