api: no route is answered before the state is loaded

Cause: until the first policy was published, requests went on to the core without a caller, and were then decided as nobody's; paths of features that were not announced yet counted as unknown.

Change: one gate at the edge.

An empty stored list of controllers is not taken: it would allow no majority. The kinds of stored values that the tests of odd inputs mutate include the two new ones.

--- a/api/api.go
+++ b/api/api.go
@@ -43,6 +43,7 @@
 	authenticator    *authenticator
 	tlsConfig        *tls.Config // nil means plain text
 
+	loaded              atomic.Bool // the core has loaded its replica of the store
 	reservationsEnabled atomic.Bool // whether an equipment inventory is configured
 	queueEnabled        atomic.Bool // whether priority classes are configured
 
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -62,6 +62,7 @@
 
 func newTestApp(controller *fakeController) *fiber.App {
 	controller.server = New(controller, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	controller.server.SetLoaded()
 	return controller.server.newApp()
 }
 
--- a/api/authenticator_test.go
+++ b/api/authenticator_test.go
@@ -168,6 +168,7 @@
 	}
 	controller := &fakeController{}
 	s := New(controller, 0, files.ServerConfig(), log)
+	s.SetLoaded()
 	controller.server = s
 	policy, err := access.New(&pb.Access{
 		Identities: []*pb.Identity{{Name: "anna", Certificate: true}, {Name: "potter"}},
@@ -253,6 +254,7 @@
 func TestDeniedRequestsAreHandedToTheAuditLog(t *testing.T) {
 	auth, _ := newTestAuthenticator(t, "anna")
 	s := New(nil, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s.SetLoaded()
 	s.authenticator = auth
 	app := s.newApp()
 	for i := range 2000 {
--- a/api/request_memory_test.go
+++ b/api/request_memory_test.go
@@ -57,6 +57,7 @@
 	t.Helper()
 	service := &recordingService{}
 	service.server = New(service, 0, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	service.server.SetLoaded()
 	service.server.SetPermissions(policy)
 	service.server.SetReservationsEnabled(true)
 	service.server.SetQueueEnabled(true)
--- a/api/routes.go
+++ b/api/routes.go
@@ -30,6 +30,7 @@
 		ErrorHandler:    respondError,
 	})
 	app.Get(wire.PathHealth, s.getHealth)
+	app.Use(s.whenLoaded)
 	app.Get(wire.PathStoreEndpoint, s.authenticated(s.getStoreEndpoint))
 	app.Get(wire.PathAudit, s.authenticated(s.readAudit))
 	app.Get(wire.PathPermissions, s.authenticated(s.listPermissions))
@@ -43,6 +44,18 @@
 	return app
 }
 
+// whenLoaded refuses all requests until the core has loaded its replica of the store. Earlier, an accepted job would be
+// unknown, and a caller with a valid token would be nobody.
+func (s *Server) whenLoaded(c fiber.Ctx) error {
+	if !s.loaded.Load() {
+		return unavailable(c, "state not loaded yet")
+	}
+	return c.Next()
+}
+
+// SetLoaded has requests answered from now on. The permissions and features that the replica shows must be set before.
+func (s *Server) SetLoaded() { s.loaded.Store(true) }
+
 // respondError responds with an error of fiber or of a handler.
 func respondError(c fiber.Ctx, err error) error {
 	status := fiber.StatusInternalServerError
--- a/core/core.go
+++ b/core/core.go
@@ -66,6 +66,8 @@
 	access        accessControl
 	restoreMarker restoreMarker
 
+	loadedAnnounced bool // ReplicaLoaded was emitted
+
 	reservations reservationState
 
 	overload    overload.State
@@ -339,8 +341,17 @@
 		c.scaleInDuringOutage()
 		c.dispatchCommands()
 		c.broadcastUpdates()
+		c.announceLoaded()
 	}
 	out := c.outputs
 	c.outputs = nil
 	return out
 }
+
+// announceLoaded tells the API once that requests can be answered from now on.
+func (c *Core) announceLoaded() {
+	if !c.loadedAnnounced {
+		c.loadedAnnounced = true
+		c.emit(ReplicaLoaded{})
+	}
+}
--- a/core/inputs_mutation_test.go
+++ b/core/inputs_mutation_test.go
@@ -30,7 +30,7 @@
 	keyFencingToken, keyLeader, keyRegistration + "n1", keyShard + "1", keyMachineTypes, keyTeam + "t", keyJob + "wk-1",
 	keyJob + "wk-9", keySlot + "0", keySchemaVersion + "n1", keyRoles, keyIdentity + "anna", auditlog.HeadPrefix + "n0",
 	KeyRestored, keyHistory, keyPriorityClasses, reservations.KeyHead, reservations.KeyInventory,
-	reservations.Prefix + "page/0000000000000001", keyCancel + "wk-1",
+	reservations.Prefix + "page/0000000000000001", keyCancel + "wk-1", keyActiveSchema, keyMemberList + "n1",
 }
 
 // recordedSeeds returns the recorded forms of stored values, under every kind of key, and of messages.
--- a/core/memberlists.go
+++ b/core/memberlists.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -84,6 +85,9 @@
 	if err := json.Unmarshal(raw, &list); err != nil {
 		return fmt.Errorf("decode list of controllers: %w", err)
 	}
+	if len(list) == 0 {
+		return errors.New("decode list of controllers: it is empty")
+	}
 	name := strings.TrimPrefix(key, keyMemberList)
 	if revision >= c.memberLists.revisions[name] {
 		c.memberLists.lists[name], c.memberLists.revisions[name] = list, revision
--- a/core/outputs.go
+++ b/core/outputs.go
@@ -78,6 +78,10 @@
 	ReservationsEnabled struct{ Enabled bool }
 	// QueueEnabled tells the API whether a list of priority classes is in force.
 	QueueEnabled struct{ Enabled bool }
+	// ReplicaLoaded tells the API that the replica of the store is loaded for the first time. It follows all outputs
+	// that tell what the replica shows: PermissionsChanged, ReservationsEnabled and QueueEnabled. Before it, no request
+	// can be answered, as neither the callers' permissions nor what exists is known.
+	ReplicaLoaded struct{}
 	// LogLine is a line for the log.
 	LogLine struct {
 		Level   LogLevel
@@ -112,6 +116,8 @@
 
 func (QueueEnabled) output() {}
 
+func (ReplicaLoaded) output() {}
+
 func (LogLine) output() {}
 
 // LeaseOp is the operation of a LeaseRequest; empty: none.
--- a/eventloop.go
+++ b/eventloop.go
@@ -167,6 +167,8 @@
 		c.server.SetQueueEnabled(o.Enabled)
 	case core.ReservationsEnabled:
 		c.server.SetReservationsEnabled(o.Enabled)
+	case core.ReplicaLoaded:
+		c.server.SetLoaded()
 	case core.LogLine:
 		c.log.Log(ctx, slogLevel(o.Level), o.Message, o.Args...)
 	}
--- a/internal/sim/digest_test.go
+++ b/internal/sim/digest_test.go
@@ -96,6 +96,8 @@
 		return 11, true
 	case core.QueueEnabled:
 		return 12, true
+	case core.ReplicaLoaded:
+		return 13, true
 	}
 	return 0, false
 }
