core: a machine with tasks that the cloud does not list is given up

Cause: a new leader knows the machine from records alone, and took the time of three boots and twice the list's lag in place of proof.

Change: a machine with tasks that has not reported is returned once a complete list lacks it that was requested later than twice the list's lag after it became known. The return proves that its tasks are gone.

--- a/core/cloud.go
+++ b/core/cloud.go
@@ -72,6 +72,9 @@
 	if l.listInFlight || c.now < l.nextListAt {
 		return
 	}
+	if l.listAfter == "" {
+		l.listStartedAt = c.now
+	}
 	l.listInFlight = l.callCloud(CloudRequest{Op: CloudList, AfterMachine: l.listAfter}, func(in CloudResult) {
 		if l.ended {
 			return
@@ -81,10 +84,10 @@
 			l.nextListAt = c.now + cloudRetryDelay
 			return
 		}
-		l.advanceList(&in)
 		for i := range in.Machines {
 			c.applyListedMachine(&in.Machines[i])
 		}
+		l.advanceList(&in)
 	})
 }
 
@@ -99,7 +102,9 @@
 			l.nextListAt = l.now
 		}
 	}
-	l.listComplete = l.listComplete || l.listAfter == ""
+	if l.listAfter == "" {
+		l.listComplete, l.completeListStartedAt = true, l.listStartedAt
+	}
 }
 
 // applyListedMachine adopts a machine's attributes from the cloud's list as far as they are not known.
@@ -108,6 +113,7 @@
 	if target.lifecycle.gone {
 		return
 	}
+	target.leaderView.lastListedAt = c.now
 	target.identity.setNodeGroup(nodeGroup{listed.Type, listed.Zone, listed.Spot})
 	if target.identity.address == "" {
 		target.identity.address = listed.Addr
--- a/core/leader.go
+++ b/core/leader.go
@@ -22,6 +22,7 @@
 	offeredLast      bool                   // placement prefers all other machines, so that this one empties
 	onDemandReserved clusterstate.Resources // reserved for work that may not use spot machines
 	scaleInReason    string                 // why it must be scaled in; empty: it need not be
+	lastListedAt     time.Duration          // when a page of the cloud's list last contained it; 0: never
 	zoneUnreachable  bool                   // silent like most of its zone: its tasks are to be replaced
 }
 
@@ -33,20 +34,25 @@
 	autoscaler *autoscalerState
 	machines   *machineTable
 
-	ended             bool // the term is over, although answers to its requests may still arrive
-	fencingToken      uint64
-	leadingSince      time.Duration
-	array             *clusterstate.Array
-	ackedBatchSeqs    map[string]uint64 // by controller: sequence number of its last batch of allocation deltas
-	nextPushAt        time.Duration
-	lastPushAt        time.Duration
-	pushedRevision    uint64 // revision of the array as of the last push; 0: none in this term
-	nextFullPushAt    time.Duration
-	nextPlanAt        time.Duration
-	nextPlanLogAt     time.Duration
-	nextListAt        time.Duration
-	listComplete      bool // all pages of the cloud's list have been read at least once
-	listInFlight      bool
+	ended          bool // the term is over, although answers to its requests may still arrive
+	fencingToken   uint64
+	leadingSince   time.Duration
+	array          *clusterstate.Array
+	ackedBatchSeqs map[string]uint64 // by controller: sequence number of its last batch of allocation deltas
+	nextPushAt     time.Duration
+	lastPushAt     time.Duration
+	pushedRevision uint64 // revision of the array as of the last push; 0: none in this term
+	nextFullPushAt time.Duration
+	nextPlanAt     time.Duration
+	nextPlanLogAt  time.Duration
+	nextListAt     time.Duration
+	listComplete   bool // all pages of the cloud's list have been read at least once
+	listInFlight   bool
+	listStartedAt  time.Duration // when the first page of the list being read was requested
+
+	// completeListStartedAt is the same of the last list that was read completely.
+	completeListStartedAt time.Duration
+
 	pollRequestRounds int    // number of times that a peer was asked to poll machines
 	listAfter         string // the next page begins after this machine
 
--- a/core/machinecheck.go
+++ b/core/machinecheck.go
@@ -30,6 +30,7 @@
 	scaleInBootTimeout  = "boot timeout"
 	scaleInInterruption = "interruption notice"
 	scaleInSilent       = "silent"
+	scaleInNotListed    = "not listed"
 	scaleInFaulty       = "faulty"
 )
 
@@ -129,6 +130,8 @@
 	c := k.core
 	deadline := m.lifecycle.interruptionDeadline
 	switch {
+	case !m.status.reported && k.isMissingFromList(m):
+		return scaleInNotListed
 	case !m.status.reported:
 		if k.bootTimedOut(m) {
 			return scaleInBootTimeout
@@ -146,6 +149,16 @@
 	return ""
 }
 
+// isMissingFromList reports whether a machine with tasks, which this controller knows only from the store, is missing
+// from a complete list of the cloud's machines. Lists lag by up to twice CloudListLag, so the list must have been
+// requested that long after the machine became known. The scale-in then proves that its tasks are gone. Otherwise they
+// would wait as long as a machine may take to boot.
+func (k *machineCheck) isMissingFromList(m *machine) bool {
+	listedSince := max(m.identity.firstSeenAt, m.leaderView.provisionedAt) + 2*k.core.cfg.Autoscaling.CloudListLag
+	return len(m.allocation.assignments) > 0 && k.leader.completeListStartedAt > listedSince &&
+		m.leaderView.lastListedAt < k.leader.completeListStartedAt
+}
+
 // bootTimedOut reports whether a machine has taken too long until its first heartbeat. A new leader does not
 // know when the machine was started, and waits as if that had been one boot time before its term.
 func (k *machineCheck) bootTimedOut(m *machine) bool {
