--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -17,6 +17,9 @@
 	// attemptRetention is the time since its last command after which the state of an attempt that is neither
 	// assigned nor reported may be evicted.
 	attemptRetention = 10 * time.Second
+	// maxCommandBytes is the maximum size of the commands in a request, in bytes: an agent accepts wire.MaxBodyBytes,
+	// of which the fencing token and the incarnation take less than the rest.
+	maxCommandBytes = wire.MaxBodyBytes - 1024
 	// conflictBackoff is the time without commands to a machine after it rejected a command batch.
 	conflictBackoff = 300 * time.Millisecond
 )
@@ -126,6 +129,7 @@
 	if len(plan.commands) == 0 {
 		return plan.needsRecheck
 	}
+	plan.postponeExcess()
 	c.commands.send(m, plan.batch(), plan.starts)
 	return true
 }
@@ -293,9 +297,34 @@
 	}
 }
 
+// postponeExcess orders the collected commands by attempt and removes those that would make the request larger than an
+// agent accepts. They are collected again once this request is answered.
+func (p *commandPlan) postponeExcess() {
+	slices.SortFunc(p.commands, func(x, y plannedCommand) int { return x.compare(y.attemptKey) })
+	bytes, fitting := 0, 0
+	for fitting < len(p.commands) {
+		bytes += p.commands[fitting].command.MaxEncodedBytes()
+		if bytes > maxCommandBytes {
+			break
+		}
+		fitting++
+	}
+	for _, excess := range p.commands[fitting:] {
+		postponed := p.machine.commands.attemptOf(excess.attemptKey)
+		postponed.commandSent = false
+		if excess.command.Op == wire.OpStart {
+			postponed.startInFlight = false
+			p.core.Stats.TaskStarts--
+		}
+	}
+	p.commands = p.commands[:fitting]
+	p.starts = slices.DeleteFunc(p.starts, func(key attemptKey) bool {
+		return !p.machine.commands.attempts[key].startInFlight
+	})
+}
+
 // batch returns the collected commands, ordered by attempt.
 func (p *commandPlan) batch() wire.CommandBatch {
-	slices.SortFunc(p.commands, func(x, y plannedCommand) int { return x.compare(y.attemptKey) })
 	batch := wire.CommandBatch{
 		FencingToken: p.core.leadership.fencingToken,
 		Incarnation:  p.machine.status.incarnation,
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -88,6 +88,15 @@
 // String returns the operation, the task and the attempt, for logs.
 func (c Command) String() string { return fmt.Sprintf("%s %s@%d", c.Op, c.Task, c.Attempt) }
 
+// MaxEncodedBytes returns an upper bound of the size of the command in a request, in bytes: its JSON form and a comma.
+func (c Command) MaxEncodedBytes() int {
+	const (
+		fixed  = len(`{"order":"","piece":"","try":,"damp_s":},`)
+		number = 24 // digits of the longest number
+	)
+	return fixed + len(c.Op) + len(c.Task) + 2*number
+}
+
 // HeartbeatResponse is the response to a heartbeat, with commands to the agent.
 type HeartbeatResponse struct {
 	FencingToken uint64    `json:"baton"`
